--- /dev/null
+++ b/include/kelpdeal/broker.h
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: MIT
+// The core: requests, attempts and outcomes, and no wire. A front hands it requests; it asks the decision
+// module (cottonbay) what to do, has a node transport carry the attempts, and gives each request one final
+// reply.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cottonbay/balancer.h"
+#include "kelpdeal/config.h"
+#include "kelpdeal/limits.h"
+#include "kelpdeal/metrics.h"
+#include "kelpdeal/scheduler.h"
+#include "kelpdeal/task.h"
+#include "kelpdeal/time.h"
+
+namespace kelpdeal {
+
+using AttemptId = std::uint64_t;
+using NodeId = cottonbay::ServerId;
+using cottonbay::Outcome;
+
+struct PartRequest {
+  int shard = 0;
+  double weight = 0;
+  std::optional<Duration> cost_hint;
+};
+
+struct QueryRequest {
+  std::string id, class_name;
+  std::string key;   // the idempotency key of a keyed class
+  std::string text;  // handed to every node unchanged
+  bool repeat = false;
+  TimePoint expires;  // when the client has to have the whole answer
+  std::vector<PartRequest> parts;
+};
+
+// One try of one part at one node.
+struct Attempt {
+  AttemptId id = 0;
+  std::string query, class_name, key, text;
+  int shard = 0;
+  TimePoint until;
+  // The second step of a query: which shards were in after the first, and whether that one was whole.
+  bool second = false, first_whole = false;
+  std::vector<int> from;
+};
+
+struct AttemptResult {
+  Outcome outcome = Outcome::moot;
+  std::int64_t score = 0;
+  std::string value;
+  cottonbay::LoadReport load;
+};
+
+struct Reply {
+  enum class Kind { answered, refused, failed };
+  struct Item {
+    int shard = 0;
+    std::string value;
+  };
+  Kind kind = Kind::failed;
+  bool whole = false;
+  std::vector<Item> items;
+  int asked = 0;             // parts of the step that the items are of
+  std::vector<int> missing;  // shards of that step that are not in
+  Duration retry_after{};    // of a refusal; 0: no advice
+  std::string why;           // of a refusal or failure, one word: "overload", "deadline", ...
+};
+
+// Carries attempts to nodes. It reports the end of each attempt exactly once, unless it was given up.
+class NodeTransport {
+ public:
+  enum class Why { cancelled, timed_out };
+  virtual ~NodeTransport() = default;
+  virtual void listed(NodeId node, const NodeEntry& entry) = 0;
+  virtual void send(NodeId node, std::vector<Attempt> call) = 0;
+  virtual void give_up(AttemptId attempt, Why why) = 0;
+  virtual void probe(NodeId node) = 0;
+  virtual void close_idle(NodeId node) = 0;
+};
+
+class AttemptSink {
+ public:
+  virtual ~AttemptSink() = default;
+  virtual void attempt_ended(AttemptId attempt, AttemptResult result) = 0;
+  virtual void probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load) = 0;
+};
+
+// Where the list of nodes comes from.
+class Directory {
+ public:
+  virtual ~Directory() = default;
+  virtual void subscribe() = 0;
+  virtual void fetch() = 0;
+};
+
+class DirectorySink {
+ public:
+  virtual ~DirectorySink() = default;
+  virtual void listed(const NodeList& list) = 0;
+  virtual void list_failed() = 0;
+};
+
+// The client's end of a request: whoever serves the connection says so once the client has left.
+class Caller {
+ public:
+  void leave() {
+    gone_ = true;
+    if (on_leave) on_leave();
+  }
+  bool gone() const { return gone_; }
+  std::function<void()> on_leave;
+
+ private:
+  bool gone_ = false;
+};
+
+class Driver;
+
+class Broker : public AttemptSink, public DirectorySink {
+ public:
+  // Throws ConfigError if the module does not take the settings.
+  Broker(Scheduler& scheduler, const Config& config, Metrics& metrics);
+  ~Broker() override;
+
+  // Both must outlive the broker's use of them; start() hands the module its first list.
+  void start(NodeTransport& transport, Directory& directory, const NodeList& known);
+
+  // The life of one request, up to its one final reply.
+  Task<Reply> serve(QueryRequest request, Caller& caller);
+
+  const cottonbay::Settings& settings() const { return settings_; }
+  const cottonbay::ClassSettings* find_class(std::string_view name) const;
+  std::size_t open() const { return open_; }
+
+  void attempt_ended(AttemptId attempt, AttemptResult result) override;
+  void probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load) override;
+  void listed(const NodeList& list) override;
+  void list_failed() override;
+
+ private:
+  Scheduler& scheduler_;
+  const cottonbay::Settings settings_;
+  const Limits limits_;
+  Metrics& metrics_;
+  std::unique_ptr<Driver> driver_;
+  std::size_t open_ = 0;  // queries and parts held
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/include/kelpdeal/discovery.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+// The platform's discovery over HTTP: the whole list, and a watch on its changes.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kelpdeal/broker.h"
+#include "kelpdeal/http.h"
+#include "kelpdeal/socket.h"
+
+namespace kelpdeal {
+
+class DiscoveryClient : public Directory {
+ public:
+  DiscoveryClient(Scheduler& scheduler, Address address, const Limits& limits, Metrics& metrics,
+                  DirectorySink& sink);
+
+  // The version that is already known, where a watch begins.
+  void start_from(std::uint64_t version) { version_ = version; }
+  void subscribe() override;
+  void fetch() override;
+
+ private:
+  Task<void> watch(std::uint64_t turn);
+  Task<void> fetch_once();
+  // The parsed answer to one GET; nothing if it failed.
+  Task<std::optional<NodeList>> get(std::string target, TimePoint deadline);
+
+  Scheduler& scheduler_;
+  const Address address_;
+  const Limits limits_;
+  Metrics& metrics_;
+  DirectorySink& sink_;
+  std::shared_ptr<Stream> kept_;  // a connection between two calls
+  std::uint64_t version_ = 0;
+  std::uint64_t turn_ = 0;  // the watch that counts; older ones end
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/include/kelpdeal/gateway.h
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: MIT
+// A whole coordinator, put together from its parts.
+#pragma once
+
+#include <memory>
+
+#include "kelpdeal/config.h"
+#include "kelpdeal/metrics.h"
+#include "kelpdeal/scheduler.h"
+
+namespace kelpdeal {
+
+class Gateway {
+ public:
+  // Throws ConfigError if the configuration cannot be used, std::system_error if an address cannot be had.
+  Gateway(Scheduler& scheduler, Config config);
+  ~Gateway();
+
+  // Begins a planned stop: the scheduler stops once all that was taken is answered.
+  void drain();
+  const Metrics& metrics() const;
+
+ private:
+  struct Parts;
+  std::unique_ptr<Parts> parts_;
+};
+
+// The whole program: reads the environment, serves until SIGTERM or SIGINT, prints the counters, and returns
+// the exit status. SIGUSR1 prints the counters at any time.
+int run_program(int argc, char** argv);
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/include/kelpdeal/http_server.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+// Serves HTTP/1.1 connections for a front: reading, keep-alive, bad input, clients that leave, and the drain
+// at a planned stop.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+
+#include "kelpdeal/broker.h"
+#include "kelpdeal/http.h"
+#include "kelpdeal/socket.h"
+
+namespace kelpdeal {
+
+class HttpHandler {
+ public:
+  virtual ~HttpHandler() = default;
+  // `received` is when the request's last byte was read.
+  virtual Task<http::Response> handle(http::Request request, Caller& caller, TimePoint received) = 0;
+  // The answer to what cannot be read as a request.
+  virtual http::Response reject(int status, const std::string& problem) = 0;
+};
+
+class HttpServer {
+ public:
+  HttpServer(Scheduler& scheduler, Address listen, const Limits& limits, Metrics& metrics,
+             HttpHandler& handler);
+  Address address() const { return listener_.address(); }
+
+  // A planned stop: serves on, then closes the listener and what is idle. drained() tells when nothing is
+  // left.
+  void drain();
+  bool drained() const { return draining_ && !accepting_ && connections_.empty(); }
+
+ private:
+  struct Connection {
+    Connection(std::unique_ptr<Stream> stream, const http::Bounds& bounds)
+        : stream(std::move(stream)), parser(bounds) {}
+    std::unique_ptr<Stream> stream;
+    http::Parser<http::Request> parser;
+    TimePoint since = Clock::now();  // of the present idle time
+    bool idle = true, fresh = true, closing = false;
+  };
+  using Place = std::list<Connection>::iterator;
+  Task<void> accept_all();
+  Task<void> converse(Place place);
+  Task<bool> exchange(Connection& connection);
+  Task<void> answer(Connection& connection, http::Response response);
+  void close_oldest_idle();
+
+  Scheduler& scheduler_;
+  const Limits limits_;
+  Metrics& metrics_;
+  HttpHandler& handler_;
+  Listener listener_;
+  std::list<Connection> connections_;
+  Timer drain_timer_;
+  bool draining_ = false, accepting_ = true;
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/include/kelpdeal/socket.h
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+// TCP over epoll for coroutines: every wait has a deadline and can be cancelled.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "kelpdeal/descriptor.h"
+#include "kelpdeal/scheduler.h"
+#include "kelpdeal/task.h"
+#include "kelpdeal/time.h"
+
+namespace kelpdeal {
+
+struct Address {
+  sockaddr_in raw{};
+  // "10.0.0.4:8000"; nothing if it is not of that form.
+  static std::optional<Address> parse(std::string_view text);
+  std::string text() const;
+};
+
+enum class Io { ok, ended, broken, timed_out, cancelled };
+
+struct IoResult {
+  Io io = Io::ok;
+  std::size_t bytes = 0;
+};
+
+// One connected stream. A reader and a writer may wait at the same time, one of each.
+class Stream : private Readiness {
+ public:
+  Stream(Scheduler& scheduler, Descriptor descriptor);
+  ~Stream() override;
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  // Ok with at least one byte, or why not.
+  Task<IoResult> read_some(std::span<char> into, TimePoint deadline = kNever);
+  // `bytes` tells how far it came, whatever the outcome.
+  Task<IoResult> write_all(std::string_view bytes, TimePoint deadline = kNever);
+  // Waits for the connection to come up.
+  Task<Io> connected(TimePoint deadline);
+  // Tells, once, when the other side has closed or reset the connection; also if it already has.
+  void on_hang_up(std::function<void()> action);
+  // Nothing more will be written; the other side sees an end once all is read.
+  void finish_writing();
+  // Ends whatever waits here, now and later.
+  void cancel();
+  // True if bytes or an end are there to be read.
+  bool has_input() const;
+
+ private:
+  void ready(std::uint32_t events) override;
+  Scheduler& scheduler_;
+  Descriptor descriptor_;
+  Parker reader_, writer_;
+  std::function<void()> hang_up_;
+  bool cancelled_ = false, hung_up_ = false;
+};
+
+// Null if the connection did not come up in time.
+Task<std::unique_ptr<Stream>> connect(Scheduler& scheduler, Address to, TimePoint deadline);
+
+class Listener : private Readiness {
+ public:
+  // Throws std::system_error if the address cannot be had.
+  Listener(Scheduler& scheduler, Address address, int backlog);
+  ~Listener() override;
+  // Null once closed.
+  Task<std::unique_ptr<Stream>> accept();
+  void close();
+  Address address() const;
+
+ private:
+  void ready(std::uint32_t events) override;
+  Scheduler& scheduler_;
+  Descriptor descriptor_;
+  Parker parker_;
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/broker/broker.cpp
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/broker.h"
+
+#include <algorithm>
+
+#include "driver.h"
+
+namespace kelpdeal {
+namespace {
+
+// The parts of one step and what has come of them.
+struct Step {
+  int number = 0;
+  std::vector<PartRequest> parts;
+  std::vector<std::optional<PartIn>> in;
+  void start(std::vector<PartRequest> asked) {
+    ++number;
+    parts = std::move(asked);
+    in.assign(parts.size(), std::nullopt);
+  }
+};
+
+// Counts what a request holds for as long as it lives.
+class Held {
+ public:
+  Held(std::size_t& open, std::size_t amount) : open_(open), amount_(amount) { open_ += amount_; }
+  ~Held() { open_ -= amount_; }
+  Held(const Held&) = delete;
+  Held& operator=(const Held&) = delete;
+  void change(std::size_t amount) {
+    open_ = open_ - amount_ + amount;
+    amount_ = amount;
+  }
+
+ private:
+  std::size_t& open_;
+  std::size_t amount_;
+};
+
+// Lets go of the driver and the caller whichever way a life ends.
+class Registered {
+ public:
+  Registered(Driver& driver, Caller& caller, RequestId query)
+      : driver_(driver), caller_(caller), query_(query) {}
+  ~Registered() {
+    caller_.on_leave = nullptr;
+    driver_.forget(query_);
+  }
+  Registered(const Registered&) = delete;
+  Registered& operator=(const Registered&) = delete;
+
+ private:
+  Driver& driver_;
+  Caller& caller_;
+  RequestId query_;
+};
+
+// The shards that score highest among those that are in, at most `most` of them.
+std::vector<PartRequest> second_step(const Step& first, std::size_t most) {
+  std::vector<std::size_t> order;
+  for (std::size_t i = 0; i < first.in.size(); ++i)
+    if (first.in[i]) order.push_back(i);
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    if (first.in[a]->score != first.in[b]->score) return first.in[a]->score > first.in[b]->score;
+    return first.parts[a].shard < first.parts[b].shard;
+  });
+  order.resize(std::min(order.size(), most));
+  std::vector<PartRequest> parts;
+  for (const std::size_t i : order)
+    parts.push_back({first.parts[i].shard, 1.0 / static_cast<double>(order.size()), std::nullopt});
+  return parts;
+}
+
+Reply refused(std::string why, Duration retry_after) {
+  Reply reply;
+  reply.kind = Reply::Kind::refused;
+  reply.why = std::move(why);
+  reply.retry_after = retry_after;
+  return reply;
+}
+
+Reply failed(std::string why) {
+  Reply reply;
+  reply.why = std::move(why);
+  return reply;
+}
+
+}  // namespace
+
+Broker::Broker(Scheduler& scheduler, const Config& config, Metrics& metrics)
+    : scheduler_(scheduler),
+      settings_(config.settings),
+      limits_(config.limits),
+      metrics_(metrics),
+      driver_(std::make_unique<Driver>(scheduler, settings_, config.seed, metrics)) {}
+
+Broker::~Broker() = default;
+
+void Broker::start(NodeTransport& transport, Directory& directory, const NodeList& known) {
+  driver_->start(transport, directory, known);
+}
+
+const cottonbay::ClassSettings* Broker::find_class(std::string_view name) const {
+  for (const cottonbay::ClassSettings& c : settings_.classes)
+    if (c.name == name) return &c;
+  return nullptr;
+}
+
+void Broker::attempt_ended(AttemptId attempt, AttemptResult result) {
+  driver_->attempt_ended(attempt, std::move(result));
+}
+void Broker::probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load) {
+  driver_->probe_ended(node, outcome, elapsed, std::move(load));
+}
+void Broker::listed(const NodeList& list) {
+  driver_->listed(list, list.complete ? cottonbay::ListKind::complete : cottonbay::ListKind::changes);
+}
+void Broker::list_failed() { driver_->list_failed(); }
+
+Task<Reply> Broker::serve(QueryRequest request, Caller& caller) {
+  metrics_.count("queries.taken");
+
+  // Admit: the settings bound what one coordinator may hold.
+  const cottonbay::ClassSettings* cls = find_class(request.class_name);
+  const std::size_t needs = 1 + request.parts.size();
+  if (!cls) co_return failed("class");
+  if (limits_.open > 0 && open_ + needs > limits_.open) {
+    metrics_.count("queries.refused");
+    co_return refused("capacity", limits_.most_retry_after);
+  }
+  Held held(open_, needs);
+
+  // Tell the module.
+  Step step;
+  step.start(request.parts);
+  Choices choices(scheduler_);
+  const RequestId query = driver_->query_arrived(request, choices);
+  Registered registered(*driver_, caller, query);
+  caller.on_leave = [&choices] { choices.put(ClientLeft{}); };
+  bool second = false, first_whole = false;
+  std::vector<int> from;
+
+  // Act on what it chooses, until it ends the query.
+  for (;;) {
+    std::optional<Choice> choice = co_await choices.take(request.expires);
+    if (!choice) {  // guards against a query without an answer, should the module's own timer be late
+      driver_->withdraw(query);
+      metrics_.count("queries.failed");
+      metrics_.log("overdue", "query " + request.id + " had no decision before its time was up");
+      co_return failed("deadline");
+    }
+
+    if (const auto* send = std::get_if<SendChosen>(&*choice)) {
+      if (send->step != step.number) continue;
+      Attempt attempt{send->attempt, request.id, request.class_name, request.key, request.text, 0,
+                      send->until,   second,     first_whole,        from};
+      attempt.shard = step.parts[send->part].shard;
+      driver_->dispatch(send->node, std::move(attempt));
+
+    } else if (auto* in = std::get_if<PartIn>(&*choice)) {
+      if (in->step != step.number) continue;  // guards against a first step's value in the second
+      const std::size_t place = in->part;
+      step.in[place] = std::move(*in);
+
+    } else if (const auto* answer = std::get_if<AnswerChosen>(&*choice)) {
+      if (cls->second_step > 0 && !second) {
+        // The first step is over; a few of its shards are asked once more.
+        second = true;
+        first_whole = answer->whole;
+        for (std::size_t i = 0; i < step.in.size(); ++i)
+          if (step.in[i]) from.push_back(step.parts[i].shard);
+        std::sort(from.begin(), from.end());
+        step.start(second_step(step, static_cast<std::size_t>(cls->second_step)));
+        held.change(1 + step.parts.size());
+        driver_->parts_arrived(query, step.parts, choices);
+        continue;
+      }
+      Reply reply;
+      reply.kind = Reply::Kind::answered;
+      reply.whole = answer->whole;
+      reply.asked = static_cast<int>(step.parts.size());
+      for (std::size_t i = 0; i < step.parts.size(); ++i) {
+        if (step.in[i])
+          reply.items.push_back({step.parts[i].shard, std::move(step.in[i]->value)});
+        else
+          reply.missing.push_back(step.parts[i].shard);
+      }
+      metrics_.count(reply.whole ? "queries.answered" : "queries.answered_partial");
+      co_return reply;
+
+    } else if (const auto* refuse = std::get_if<RefuseChosen>(&*choice)) {
+      metrics_.count("queries.refused");
+      co_return refused("overload", refuse->retry_after);
+
+    } else if (std::get_if<FailChosen>(&*choice)) {
+      metrics_.count("queries.failed");
+      co_return failed("deadline");
+
+    } else {  // the client has left
+      driver_->withdraw(query);
+      metrics_.count("queries.withdrawn");
+      co_return failed("client gone");
+    }
+  }
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/broker/driver.cpp
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: MIT
+#include "driver.h"
+
+#include <cmath>
+
+namespace kelpdeal {
+namespace {
+
+// The module's clock at our start. A node's start time must come out above 0, which means 'long ago', and
+// the figures must stay small enough for a double to hold nanoseconds.
+constexpr FractionalMs kModuleEpoch = std::chrono::hours(24);
+
+const char* name_of(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::ok:
+      return "attempts.ok";
+    case Outcome::error:
+      return "attempts.error";
+    case Outcome::full:
+      return "attempts.full";
+    case Outcome::timeout:
+      return "attempts.timeout";
+    case Outcome::connect_failed:
+      return "attempts.connect_failed";
+    case Outcome::reset:
+      return "attempts.reset";
+    case Outcome::cancelled:
+      return "attempts.cancelled";
+    case Outcome::moot:
+      return "attempts.moot";
+  }
+  return "attempts.unknown";
+}
+
+}  // namespace
+
+Driver::Driver(Scheduler& scheduler, const cottonbay::Settings& settings, std::uint64_t seed,
+               Metrics& metrics)
+    : scheduler_(scheduler),
+      settings_(settings),
+      metrics_(metrics),
+      started_(Clock::now()),
+      started_wall_(std::chrono::system_clock::now()),
+      now_(started_),
+      last_turn_(started_),
+      pending_(scheduler) {
+  std::string error;
+  balancer_ = cottonbay::Balancer::create(settings, seed, error);
+  if (!balancer_) throw ConfigError("field settings: " + error);
+}
+
+void Driver::start(NodeTransport& transport, Directory& directory, const NodeList& known) {
+  transport_ = &transport;
+  directory_ = &directory;
+  listed(known, cottonbay::ListKind::saved);
+  scheduler_.spawn(turns());
+}
+
+double Driver::to_ms(TimePoint time) const { return (FractionalMs(time - started_) + kModuleEpoch).count(); }
+
+TimePoint Driver::from_ms(double ms) const { return started_ + to_duration(FractionalMs(ms) - kModuleEpoch); }
+
+double Driver::to_ms(std::chrono::system_clock::time_point time) const {
+  if (time.time_since_epoch().count() == 0) return 0;
+  return std::max(0.0, (FractionalMs(time - started_wall_) + kModuleEpoch).count());
+}
+
+// ---- events ----
+void Driver::tell(cottonbay::Event event) {
+  events_.push_back(std::move(event));
+  pending_.wake();
+}
+
+RequestId Driver::query_arrived(const QueryRequest& request, Choices& choices) {
+  cottonbay::QueryArrived e;
+  e.id = ++next_id_;
+  e.number = e.id;
+  e.class_name = request.class_name;
+  e.key = request.key;
+  e.expires_ms = to_ms(request.expires);
+  e.repeat = request.repeat;
+  e.parts = static_cast<int>(request.parts.size());
+  queries_[e.id] = {&choices, request.expires, 0, {}};
+  const RequestId id = e.id;
+  tell(std::move(e));
+  parts_arrived(id, request.parts, choices);
+  return id;
+}
+
+void Driver::parts_arrived(RequestId query, const std::vector<PartRequest>& parts, Choices& choices) {
+  QueryRecord& record = queries_[query];
+  record.choices = &choices;
+  ++record.step;
+  forget_parts(record);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    cottonbay::PartArrived e;
+    e.id = ++next_id_;
+    e.number = query;
+    e.shard = parts[i].shard;
+    e.weight = parts[i].weight;
+    e.hinted = parts[i].cost_hint.has_value();
+    if (e.hinted) e.cost_hint_ms = FractionalMs(*parts[i].cost_hint).count();
+    record.parts.push_back(e.id);
+    parts_[e.id] = {query, record.step, i, {}, false};
+    tell(std::move(e));
+  }
+}
+
+void Driver::withdraw(RequestId query) { tell(cottonbay::QueryWithdrawn{query}); }
+
+void Driver::forget_parts(QueryRecord& record) {
+  for (const RequestId part : record.parts) parts_.erase(part);
+  record.parts.clear();
+}
+
+void Driver::forget(RequestId query) {
+  const auto it = queries_.find(query);
+  if (it == queries_.end()) return;
+  // Guards against work nobody wants any more: the module's cancels for a query that was withdrawn come with
+  // its next turn, and need the parts' records to find the attempts.
+  it->second.choices = nullptr;
+  leaving_.push_back(query);
+}
+
+void Driver::listed(const NodeList& list, cottonbay::ListKind kind) {
+  cottonbay::ServersListed e;
+  e.kind = kind;
+  e.version = list.version;
+  for (const NodeEntry& node : list.nodes) {
+    const NodeId id = node_ids_.try_emplace(node.uid, node_ids_.size() + 1).first->second;
+    cottonbay::ServerEntry entry;
+    entry.id = id;
+    entry.started_ms = to_ms(node.started);
+    entry.zone = node.zone;
+    entry.kind = node.kind;
+    entry.weight = node.weight;
+    entry.state = node.state;
+    entry.cell = node.cell;
+    e.servers.push_back(std::move(entry));
+    if (transport_) transport_->listed(id, node);
+  }
+  tell(std::move(e));
+}
+
+void Driver::list_failed() {
+  cottonbay::ServersListed e;
+  e.kind = cottonbay::ListKind::failed;
+  tell(std::move(e));
+}
+
+void Driver::probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load) {
+  tell(cottonbay::ProbeEnded{node, outcome, FractionalMs(elapsed).count(), std::move(load)});
+}
+
+void Driver::attempt_ended(AttemptId attempt, AttemptResult result) { end_attempt(attempt, result); }
+
+// Every attempt the module has asked for ends here, exactly once.
+void Driver::end_attempt(AttemptId id, const AttemptResult& result) {
+  const auto it = attempts_.find(id);
+  if (it == attempts_.end()) return;
+  const AttemptRecord record = std::move(it->second);
+  attempts_.erase(it);
+  metrics_.count(name_of(result.outcome));
+  const auto part = parts_.find(record.part);
+  const bool over = part == parts_.end() || part->second.in || result.outcome == Outcome::ok;
+  tell(cottonbay::AttemptEnded{record.part, record.number, record.node, result.outcome,
+                               FractionalMs(Clock::now() - record.sent).count(), over, result.load});
+  if (result.outcome != Outcome::ok || part == parts_.end() || part->second.in) return;
+  part->second.in = true;
+  choose(part->second.query, PartIn{part->second.step, part->second.place, result.score, result.value});
+}
+
+// ---- turns ----
+Task<void> Driver::turns() {
+  const Duration tick = to_duration(FractionalMs(settings_.tick_ms));
+  for (;;) {
+    while (events_.empty()) co_await pending_.park();
+    // The first event after a quiet tick is handled at once; those that follow share the next turn.
+    if (const TimePoint next = last_turn_ + tick; Clock::now() < next) co_await scheduler_.sleep_until(next);
+    co_await scheduler_.yield();
+    take_turn();
+    co_await scheduler_.yield();  // the lives act on what was chosen
+    flush();
+  }
+}
+
+void Driver::take_turn() {
+  now_ = last_turn_ = std::max(Clock::now(), now_);
+  const std::vector<cottonbay::Event> events = std::exchange(events_, {});
+  const std::vector<RequestId> leaving = std::exchange(leaving_, {});
+  std::vector<cottonbay::Action> actions;
+  std::string error;
+  if (!balancer_->step(to_ms(now_), events, actions, error)) {
+    // The module is unchanged by what it could not take; what it chose before still holds.
+    metrics_.log("module", error);
+  }
+  for (const cottonbay::Action& action : actions) std::visit([this](const auto& a) { act(a); }, action);
+  for (const RequestId query : leaving) {
+    const auto it = queries_.find(query);
+    forget_parts(it->second);
+    queries_.erase(it);
+  }
+}
+
+void Driver::dispatch(NodeId node, Attempt attempt) {
+  // Guards against a call too many: parts for one node in one turn travel together.
+  for (auto& [to, call] : outbox_)
+    if (to == node) return call.push_back(std::move(attempt));
+  outbox_.emplace_back(node, std::vector<Attempt>());
+  outbox_.back().second.push_back(std::move(attempt));
+}
+
+void Driver::flush() {
+  const std::size_t most = static_cast<std::size_t>(std::max(settings_.parts_per_call, 1));
+  for (auto& [node, attempts] : std::exchange(outbox_, {})) {
+    for (std::size_t at = 0; at < attempts.size(); at += most) {
+      std::vector<Attempt> call;
+      for (std::size_t i = at; i < std::min(at + most, attempts.size()); ++i)
+        if (attempts_.contains(attempts[i].id)) call.push_back(std::move(attempts[i]));
+      if (call.empty()) continue;
+      metrics_.count("calls.sent");
+      metrics_.count("attempts.sent", call.size());
+      transport_->send(node, std::move(call));
+    }
+  }
+}
+
+void Driver::choose(RequestId query, Choice choice) {
+  const auto it = queries_.find(query);
+  if (it != queries_.end() && it->second.choices) it->second.choices->put(std::move(choice));
+}
+
+// ---- actions ----
+void Driver::act(const cottonbay::Send& action) {
+  const auto part = parts_.find(action.part);
+  const AttemptId id = ++next_attempt_;
+  AttemptRecord& record = attempts_[id];
+  record.part = action.part;
+  record.node = action.server;
+  record.sent = now_;
+  const auto query = part == parts_.end() ? queries_.end() : queries_.find(part->second.query);
+  if (query == queries_.end()) return end_attempt(id, {});
+  record.number = static_cast<int>(part->second.attempts.size());
+  part->second.attempts.push_back(id);
+  TimePoint until = query->second.expires;
+  if (action.until_ms > 0) until = std::min(until, from_ms(action.until_ms));
+  if (until <= now_ || record.number >= settings_.max_attempts) return end_attempt(id, {});
+  record.timer = scheduler_.at(until, [this, id] {
+    transport_->give_up(id, NodeTransport::Why::timed_out);
+    AttemptResult result;
+    result.outcome = Outcome::timeout;
+    end_attempt(id, result);
+  });
+  choose(part->second.query, SendChosen{part->second.step, part->second.place, action.server, id, until});
+}
+
+void Driver::act(const cottonbay::Cancel& action) {
+  const auto part = parts_.find(action.part);
+  if (part == parts_.end() || action.attempt < 0 ||
+      action.attempt >= static_cast<int>(part->second.attempts.size()))
+    return;
+  const AttemptId id = part->second.attempts[static_cast<std::size_t>(action.attempt)];
+  if (!attempts_.contains(id)) return;
+  transport_->give_up(id, NodeTransport::Why::cancelled);
+  AttemptResult result;
+  result.outcome = Outcome::cancelled;
+  end_attempt(id, result);
+}
+
+void Driver::act(const cottonbay::Answer& action) { choose(action.query, AnswerChosen{action.whole}); }
+
+void Driver::act(const cottonbay::Refuse& action) {
+  choose(action.query, RefuseChosen{to_duration(FractionalMs(action.retry_after_ms))});
+}
+
+void Driver::act(const cottonbay::Fail& action) { choose(action.query, FailChosen{}); }
+
+void Driver::act(const cottonbay::SetTimer& action) {
+  const std::uint64_t number = ++next_timer_;
+  // Guards against a timer a rounding error too early, which the module would pass over for good.
+  const TimePoint when = now_ + to_duration(FractionalMs(action.in_ms)) + std::chrono::microseconds(1);
+  timers_[number] = scheduler_.at(when, [this, number, token = action.token] {
+    timers_.erase(number);
+    tell(cottonbay::TimerFired{token});
+  });
+}
+
+void Driver::act(const cottonbay::Subscribe&) { directory_->subscribe(); }
+void Driver::act(const cottonbay::FetchList&) { directory_->fetch(); }
+void Driver::act(const cottonbay::Probe& action) { transport_->probe(action.server); }
+void Driver::act(const cottonbay::CloseIdle& action) { transport_->close_idle(action.server); }
+void Driver::act(const cottonbay::Tell&) {}  // coordinators share nothing here
+void Driver::act(const cottonbay::Log& action) { metrics_.log("decision", action.text); }
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/broker/driver.h
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+// Owns the decision module: batches its events by tick, routes its actions, and is the one place where the
+// program's clock meets the module's milliseconds.
+#pragma once
+
+#include <deque>
+#include <unordered_map>
+#include <variant>
+
+#include "kelpdeal/broker.h"
+
+namespace kelpdeal {
+
+using cottonbay::RequestId;
+
+// What reaches the life of a request.
+struct SendChosen {
+  int step = 0;
+  std::size_t part = 0;  // its place in the present step
+  NodeId node = 0;
+  AttemptId attempt = 0;
+  TimePoint until;
+};
+struct AnswerChosen {
+  bool whole = false;
+};
+struct RefuseChosen {
+  Duration retry_after{};
+};
+struct FailChosen {};
+struct PartIn {
+  int step = 0;
+  std::size_t part = 0;
+  std::int64_t score = 0;
+  std::string value;
+};
+struct ClientLeft {};
+using Choice = std::variant<SendChosen, AnswerChosen, RefuseChosen, FailChosen, PartIn, ClientLeft>;
+using Choices = Mailbox<Choice>;
+
+class Driver {
+ public:
+  Driver(Scheduler& scheduler, const cottonbay::Settings& settings, std::uint64_t seed, Metrics& metrics);
+
+  void start(NodeTransport& transport, Directory& directory, const NodeList& known);
+
+  // A query and the parts of its step. The choices about them go to `choices` until forget().
+  RequestId query_arrived(const QueryRequest& request, Choices& choices);
+  void parts_arrived(RequestId query, const std::vector<PartRequest>& parts, Choices& choices);
+  void withdraw(RequestId query);
+  void forget(RequestId query);
+
+  // An attempt that a life has put together; it leaves with the others of this turn.
+  void dispatch(NodeId node, Attempt attempt);
+
+  void attempt_ended(AttemptId attempt, AttemptResult result);
+  void probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load);
+  void listed(const NodeList& list, cottonbay::ListKind kind);
+  void list_failed();
+
+ private:
+  struct QueryRecord {
+    Choices* choices = nullptr;
+    TimePoint expires;
+    int step = 0;
+    std::vector<RequestId> parts;
+  };
+  struct PartRecord {
+    RequestId query = 0;
+    int step = 0;
+    std::size_t place = 0;
+    std::vector<AttemptId> attempts;
+    bool in = false;
+  };
+  struct AttemptRecord {
+    RequestId part = 0;
+    int number = 0;
+    NodeId node = 0;
+    TimePoint sent;
+    Timer timer;
+  };
+  Task<void> turns();
+  void tell(cottonbay::Event event);
+  void take_turn();
+  void flush();
+  void end_attempt(AttemptId id, const AttemptResult& result);
+  void forget_parts(QueryRecord& record);
+  void act(const cottonbay::Send& action);
+  void act(const cottonbay::Cancel& action);
+  void act(const cottonbay::Answer& action);
+  void act(const cottonbay::Refuse& action);
+  void act(const cottonbay::Fail& action);
+  void act(const cottonbay::SetTimer& action);
+  void act(const cottonbay::Subscribe& action);
+  void act(const cottonbay::FetchList& action);
+  void act(const cottonbay::Probe& action);
+  void act(const cottonbay::CloseIdle& action);
+  void act(const cottonbay::Tell& action);
+  void act(const cottonbay::Log& action);
+  void choose(RequestId query, Choice choice);
+
+  double to_ms(TimePoint time) const;
+  TimePoint from_ms(double ms) const;
+  double to_ms(std::chrono::system_clock::time_point time) const;
+
+  Scheduler& scheduler_;
+  const cottonbay::Settings& settings_;
+  Metrics& metrics_;
+  std::unique_ptr<cottonbay::Balancer> balancer_;
+  NodeTransport* transport_ = nullptr;
+  Directory* directory_ = nullptr;
+
+  const TimePoint started_;
+  const std::chrono::system_clock::time_point started_wall_;
+  TimePoint now_, last_turn_;
+  Parker pending_;
+  std::vector<cottonbay::Event> events_;
+  std::unordered_map<std::string, NodeId> node_ids_;
+  std::unordered_map<RequestId, QueryRecord> queries_;
+  std::vector<RequestId> leaving_;  // their lives are over; kept until the module has had a turn
+  std::unordered_map<RequestId, PartRecord> parts_;
+  std::unordered_map<AttemptId, AttemptRecord> attempts_;
+  std::vector<std::pair<NodeId, std::vector<Attempt>>> outbox_;  // by node, in the order first sent to
+  std::unordered_map<std::uint64_t, Timer> timers_;
+  std::uint64_t next_id_ = 0, next_number_ = 0, next_attempt_ = 0, next_timer_ = 0;
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/discovery/discovery.cpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/discovery.h"
+
+namespace kelpdeal {
+
+DiscoveryClient::DiscoveryClient(Scheduler& scheduler, Address address, const Limits& limits,
+                                 Metrics& metrics, DirectorySink& sink)
+    : scheduler_(scheduler), address_(address), limits_(limits), metrics_(metrics), sink_(sink) {}
+
+void DiscoveryClient::subscribe() { scheduler_.spawn(watch(++turn_)); }
+void DiscoveryClient::fetch() { scheduler_.spawn(fetch_once()); }
+
+Task<void> DiscoveryClient::watch(std::uint64_t turn) {
+  while (turn == turn_) {
+    // The next call leaves as soon as an answer is in: a watch goes on only if it comes within 200 ms.
+    const auto wait = std::chrono::duration_cast<Milliseconds>(limits_.watch_wait).count();
+    std::string target = "/api/targets?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait);
+    const TimePoint deadline = Clock::now() + limits_.watch_wait + limits_.watch_slack;
+    const std::optional<NodeList> list = co_await get(std::move(target), deadline);
+    if (turn != turn_) co_return;
+    if (!list) {
+      metrics_.log("discovery", "a watch failed");
+      sink_.list_failed();
+      co_return;
+    }
+    version_ = list->version;
+    metrics_.count("discovery.answers");
+    sink_.listed(*list);
+  }
+}
+
+Task<void> DiscoveryClient::fetch_once() {
+  std::string target = "/api/targets";
+  const std::optional<NodeList> list = co_await get(std::move(target), Clock::now() + limits_.watch_slack);
+  if (!list) {
+    metrics_.log("discovery", "a call for the whole list failed");
+    sink_.list_failed();
+    co_return;
+  }
+  version_ = list->version;
+  metrics_.count("discovery.answers");
+  sink_.listed(*list);
+}
+
+Task<std::optional<NodeList>> DiscoveryClient::get(std::string target, TimePoint deadline) {
+  metrics_.count("discovery.calls");
+  http::Request request;
+  request.method = "GET";
+  request.target = std::move(target);
+  request.headers.fields = {{"Host", address_.text()}};
+  const std::string bytes = http::write(request);
+
+  std::shared_ptr<Stream> stream = std::exchange(kept_, nullptr);
+  // Guards against a kept connection that discovery has closed meanwhile.
+  if (stream && stream->has_input()) stream = nullptr;
+  if (!stream) stream = co_await connect(scheduler_, address_, Clock::now() + limits_.connect_timeout);
+  if (!stream || (co_await stream->write_all(bytes, deadline)).io != Io::ok) co_return std::nullopt;
+
+  http::Bounds bounds = limits_.http;
+  bounds.body = limits_.list_bytes;
+  http::Parser<http::Response> parser(bounds);
+  std::vector<char> chunk(limits_.read_chunk);
+  http::State state = http::State::more;
+  while (state == http::State::more) {
+    const IoResult got = co_await stream->read_some(chunk, deadline);
+    if (got.io == Io::ended && parser.finish_at_end()) {
+      state = http::State::done;
+    } else if (got.io != Io::ok) {
+      co_return std::nullopt;
+    } else {
+      parser.feed({chunk.data(), got.bytes});
+      state = parser.advance();
+    }
+  }
+  if (state == http::State::bad) {
+    metrics_.log("discovery", "an answer could not be read: " + parser.problem());
+    co_return std::nullopt;
+  }
+  const http::Response response = parser.take();
+  if (response.keeps_alive()) kept_ = stream;
+  if (response.status != 200) co_return std::nullopt;
+  std::string error;
+  const auto value = json::parse(response.body, error, limits_.json);
+  try {
+    if (value) co_return parse_node_list(*value);
+  } catch (const ConfigError& e) {
+    error = e.what();
+  }
+  metrics_.log("discovery", "an answer could not be read: " + error);
+  co_return std::nullopt;
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/metrics/metrics.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/metrics.h"
+
+#include <cstdio>
+
+namespace kelpdeal {
+
+void Metrics::count(std::string_view name, std::uint64_t by) {
+  const auto it = counters_.find(name);
+  if (it != counters_.end())
+    it->second += by;
+  else
+    counters_.emplace(name, by);
+}
+
+std::uint64_t Metrics::value(std::string_view name) const {
+  const auto it = counters_.find(name);
+  return it == counters_.end() ? 0 : it->second;
+}
+
+std::string Metrics::text() const {
+  std::string out;
+  for (const auto& [name, value] : counters_) out += name + " " + std::to_string(value) + "\n";
+  return out;
+}
+
+void Metrics::log(std::string_view kind, std::string_view text) {
+  count("log." + std::string(kind));
+  Kind& seen = kinds_[std::string(kind)];
+  const TimePoint now = Clock::now();
+  if (now < seen.next) {
+    ++seen.left_out;
+    return;
+  }
+  std::string line = "kelpdeal " + std::string(kind) + ": ";
+  for (const char c : text.substr(0, 400)) line += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+  if (seen.left_out > 0) line += " (and " + std::to_string(seen.left_out) + " more like it)";
+  std::fprintf(stderr, "%s\n", line.c_str());
+  seen = {now + log_every_, 0};
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/parse/frames.cpp
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/frames.h"
+
+#include <array>
+#include <charconv>
+
+namespace kelpdeal::frames {
+namespace {
+
+// Splits a line into exactly N words parted by single spaces.
+template <std::size_t N>
+std::optional<std::array<std::string_view, N>> words(std::string_view line) {
+  std::array<std::string_view, N> found;
+  for (std::size_t i = 0; i < N; ++i) {
+    const std::size_t space = line.find(' ');
+    if ((space == std::string_view::npos) != (i + 1 == N)) return std::nullopt;
+    found[i] = line.substr(0, space);
+    if (found[i].empty()) return std::nullopt;
+    if (i + 1 < N) line.remove_prefix(space + 1);
+  }
+  return found;
+}
+
+template <typename Number>
+bool number(std::string_view text, Number& value) {
+  const auto got = std::from_chars(text.data(), text.data() + text.size(), value);
+  return got.ec == std::errc() && got.ptr == text.data() + text.size();
+}
+
+}  // namespace
+
+std::string encode(char letter, std::string_view rest) {
+  const std::uint32_t length = static_cast<std::uint32_t>(rest.size() + 1);
+  std::string out;
+  out.reserve(length + 4);
+  for (int i = 0; i < 4; ++i) out += static_cast<char>(length >> (8 * i) & 255);
+  out += letter;
+  out += rest;
+  return out;
+}
+
+std::string encode_call(const std::vector<CallPart>& parts) {
+  std::string rest;
+  for (const CallPart& part : parts) {
+    rest += part.id + ' ' + std::to_string(part.shard) + ' ' + (part.list.empty() ? "-" : part.list) + ' ' +
+            std::to_string(part.text.size()) + '\n';
+    rest += part.text;
+  }
+  return encode(kCall, rest);
+}
+
+std::optional<std::vector<CallPart>> decode_call(std::string_view rest) {
+  std::vector<CallPart> parts;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('\n');
+    if (end == std::string_view::npos) return std::nullopt;
+    const auto found = words<4>(rest.substr(0, end));
+    rest.remove_prefix(end + 1);
+    CallPart part;
+    std::size_t length = 0;
+    if (!found || !number((*found)[1], part.shard) || !number((*found)[3], length) || length > rest.size())
+      return std::nullopt;
+    part.id = (*found)[0];
+    part.list = (*found)[2];
+    part.text = rest.substr(0, length);
+    rest.remove_prefix(length);
+    parts.push_back(std::move(part));
+  }
+  if (parts.empty()) return std::nullopt;
+  return parts;
+}
+
+std::string encode_answer(const AnswerPart& answer) {
+  return encode(kAnswer, answer.id + ' ' + answer.end + ' ' + std::to_string(answer.score) + ' ' +
+                             (answer.report.empty() ? "-" : answer.report) + '\n' + answer.value);
+}
+
+std::optional<AnswerPart> decode_answer(std::string_view rest) {
+  const std::size_t end = rest.find('\n');
+  if (end == std::string_view::npos) return std::nullopt;
+  const auto found = words<4>(rest.substr(0, end));
+  if (!found || (*found)[1].size() != 1) return std::nullopt;
+  AnswerPart answer;
+  answer.id = (*found)[0];
+  answer.end = (*found)[1][0];
+  answer.report = (*found)[3];
+  answer.value = rest.substr(end + 1);
+  if (answer.end != 'S' && answer.end != 'E' && answer.end != 'B') return std::nullopt;
+  // Only an answer that is served needs its score; others may leave it out by "-".
+  if (!number((*found)[2], answer.score) && (answer.end == 'S' || (*found)[2] != "-")) return std::nullopt;
+  return answer;
+}
+
+std::optional<Frame> Reader::next() {
+  if (bad_ || buffer_.size() < 4) return std::nullopt;
+  std::size_t length = 0;
+  for (int i = 0; i < 4; ++i)
+    length |= static_cast<std::size_t>(static_cast<unsigned char>(buffer_[i])) << (8 * i);
+  if (length == 0 || length > most_) {
+    bad_ = true;
+    return std::nullopt;
+  }
+  if (buffer_.size() < 4 + length) return std::nullopt;
+  Frame frame{buffer_[4], buffer_.substr(5, length - 1)};
+  buffer_.erase(0, 4 + length);
+  return frame;
+}
+
+}  // namespace kelpdeal::frames
--- /dev/null
+++ b/src/runtime/socket.cpp
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace kelpdeal {
+namespace {
+
+Io broken_or(Wake wake) { return wake == Wake::timed_out ? Io::timed_out : Io::cancelled; }
+
+void no_delay(int fd) {
+  const int on = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+[[noreturn]] void raise(const std::string& what) {
+  throw std::system_error(errno, std::generic_category(), what);
+}
+
+}  // namespace
+
+std::optional<Address> Address::parse(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  Address address;
+  address.raw.sin_family = AF_INET;
+  const std::string host(text.substr(0, colon));
+  const std::string_view port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  const auto got = std::from_chars(port.data(), port.data() + port.size(), number);
+  if (port.empty() || got.ec != std::errc() || got.ptr != port.data() + port.size()) return std::nullopt;
+  if (::inet_pton(AF_INET, host.c_str(), &address.raw.sin_addr) != 1) return std::nullopt;
+  address.raw.sin_port = htons(number);
+  return address;
+}
+
+std::string Address::text() const {
+  char host[INET_ADDRSTRLEN] = {};
+  ::inet_ntop(AF_INET, &raw.sin_addr, host, sizeof host);
+  return std::string(host) + ":" + std::to_string(ntohs(raw.sin_port));
+}
+
+Stream::Stream(Scheduler& scheduler, Descriptor descriptor)
+    : scheduler_(scheduler), descriptor_(std::move(descriptor)), reader_(scheduler), writer_(scheduler) {
+  no_delay(descriptor_.get());
+  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, *this);
+}
+
+Stream::~Stream() { scheduler_.unwatch(descriptor_.get(), *this); }
+
+void Stream::ready(std::uint32_t events) {
+  if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) reader_.wake();
+  if (events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) writer_.wake();
+  if (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+    hung_up_ = true;
+    if (const auto action = std::exchange(hang_up_, nullptr)) action();
+  }
+}
+
+void Stream::on_hang_up(std::function<void()> action) {
+  hang_up_ = std::move(action);
+  if (hung_up_ && hang_up_) std::exchange(hang_up_, nullptr)();
+}
+
+void Stream::finish_writing() { ::shutdown(descriptor_.get(), SHUT_WR); }
+
+void Stream::cancel() {
+  cancelled_ = true;
+  reader_.wake(Wake::cancelled);
+  writer_.wake(Wake::cancelled);
+}
+
+bool Stream::has_input() const {
+  pollfd one{descriptor_.get(), POLLIN, 0};
+  return ::poll(&one, 1, 0) > 0;
+}
+
+Task<IoResult> Stream::read_some(std::span<char> into, TimePoint deadline) {
+  while (!cancelled_) {
+    const ssize_t got = ::recv(descriptor_.get(), into.data(), into.size(), 0);
+    if (got > 0) co_return IoResult{Io::ok, static_cast<std::size_t>(got)};
+    if (got == 0) co_return IoResult{Io::ended, 0};
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) co_return IoResult{Io::broken, 0};
+    const Wake wake = co_await reader_.park(deadline);
+    if (wake != Wake::ready) co_return IoResult{broken_or(wake), 0};
+  }
+  co_return IoResult{Io::cancelled, 0};
+}
+
+Task<IoResult> Stream::write_all(std::string_view bytes, TimePoint deadline) {
+  std::size_t done = 0;
+  while (!cancelled_ && done < bytes.size()) {
+    const ssize_t put = ::send(descriptor_.get(), bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+    if (put >= 0) {
+      done += static_cast<std::size_t>(put);
+      continue;
+    }
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) co_return IoResult{Io::broken, done};
+    const Wake wake = co_await writer_.park(deadline);
+    if (wake != Wake::ready) co_return IoResult{broken_or(wake), done};
+  }
+  co_return IoResult{done == bytes.size() ? Io::ok : Io::cancelled, done};
+}
+
+Task<Io> Stream::connected(TimePoint deadline) {
+  while (!cancelled_) {
+    pollfd one{descriptor_.get(), POLLOUT, 0};
+    if (::poll(&one, 1, 0) > 0) {
+      int error = 0;
+      socklen_t size = sizeof error;
+      ::getsockopt(descriptor_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+      co_return error == 0 && !(one.revents & (POLLERR | POLLHUP)) ? Io::ok : Io::broken;
+    }
+    const Wake wake = co_await writer_.park(deadline);
+    if (wake != Wake::ready) co_return broken_or(wake);
+  }
+  co_return Io::cancelled;
+}
+
+Task<std::unique_ptr<Stream>> connect(Scheduler& scheduler, Address to, TimePoint deadline) {
+  Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) co_return nullptr;
+  const int started = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw);
+  if (started != 0 && errno != EINPROGRESS) co_return nullptr;
+  auto stream = std::make_unique<Stream>(scheduler, std::move(fd));
+  if (co_await stream->connected(deadline) != Io::ok) co_return nullptr;
+  co_return stream;
+}
+
+Listener::Listener(Scheduler& scheduler, Address address, int backlog)
+    : scheduler_(scheduler),
+      descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
+      parker_(scheduler) {
+  if (!descriptor_) raise("socket");
+  const int on = 1;
+  ::setsockopt(descriptor_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (::bind(descriptor_.get(), reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0)
+    raise("bind " + address.text());
+  if (::listen(descriptor_.get(), backlog) != 0) raise("listen " + address.text());
+  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
+}
+
+Listener::~Listener() { close(); }
+
+void Listener::ready(std::uint32_t) { parker_.wake(); }
+
+void Listener::close() {
+  if (!descriptor_) return;
+  scheduler_.unwatch(descriptor_.get(), *this);
+  descriptor_.reset();
+  parker_.wake(Wake::cancelled);
+}
+
+Address Listener::address() const {
+  Address address;
+  socklen_t size = sizeof address.raw;
+  ::getsockname(descriptor_.get(), reinterpret_cast<sockaddr*>(&address.raw), &size);
+  return address;
+}
+
+Task<std::unique_ptr<Stream>> Listener::accept() {
+  while (descriptor_) {
+    Descriptor fd(::accept4(descriptor_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (fd) co_return std::make_unique<Stream>(scheduler_, std::move(fd));
+    if (errno == EINTR || errno == ECONNABORTED) continue;
+    // Out of descriptors: the edge is used up, so look again soon by ourselves.
+    const bool none_left = errno != EAGAIN && errno != EWOULDBLOCK;
+    co_await parker_.park(none_left ? Clock::now() + Milliseconds(20) : kNever);
+  }
+  co_return nullptr;
+}
+
+}  // namespace kelpdeal
