--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -54,7 +54,7 @@
 
 struct AttemptResult {
   Outcome outcome = Outcome::moot;
-  std::int64_t score = 0;
+  double score = 0;
   std::string value;
   cottonbay::LoadReport load;
 };
@@ -63,13 +63,14 @@
   enum class Kind { answered, refused, failed };
   struct Item {
     int shard = 0;
+    double score = 0;
     std::string value;
   };
   Kind kind = Kind::failed;
   bool whole = false;
-  std::vector<Item> items;
-  int asked = 0;             // parts of the step that the items are of
-  std::vector<int> missing;  // shards of that step that are not in
+  std::vector<Item> items;   // of the last step
+  std::vector<int> asked;    // the shards of the first step
+  std::vector<int> missing;  // those of them that are not in, or not in at the second step
   Duration retry_after{};    // of a refusal; 0: no advice
   std::string why;           // of a refusal or failure, one word: "overload", "deadline", ...
 };
--- /dev/null
+++ b/include/kelpdeal/contract.h
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+// What the teams in front of the broker have agreed with it: which index stands for which class and slices,
+// who may ask for what, how often and how much at once. Read from a file of ours, which may name an OpenAPI
+// description that carries the agreements.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cottonbay/balancer.h"
+#include "kelpdeal/config.h"
+#include "kelpdeal/json.h"
+#include "kelpdeal/time.h"
+
+namespace kelpdeal {
+
+struct IndexContract {
+  std::string name, class_name;
+  int first_slice = 0, slices = 0;  // slices in a row
+};
+
+struct TeamContract {
+  std::string name;
+  std::set<std::string> classes;
+  double per_second = 0;  // 0: no bound
+  double burst = 1;
+  std::size_t concurrent = 0;  // 0: no bound
+};
+
+struct FrontContract {
+  std::string listen;
+  bool opensearch_nodes = false;  // the record nodes are spoken to in this API too
+  std::vector<IndexContract> indices;
+  std::vector<TeamContract> teams;  // none: anybody may ask for anything
+};
+
+// Throws ConfigError with one line that names the field.
+FrontContract load_front_contract(const std::string& path, const cottonbay::Settings& settings);
+FrontContract parse_front_contract(const json::Value& file, const json::Value& agreements,
+                                   const cottonbay::Settings& settings);
+
+// Keeps teams to their budgets of rate and of requests at once.
+class Budgets {
+ public:
+  explicit Budgets(std::vector<TeamContract> teams);
+
+  // Held for as long as a request runs.
+  class Permit {
+   public:
+    Permit(Permit&& other) noexcept : running_(std::exchange(other.running_, nullptr)) {}
+    Permit& operator=(Permit&&) = delete;
+    ~Permit() {
+      if (running_) --*running_;
+    }
+
+   private:
+    friend class Budgets;
+    explicit Permit(std::size_t* running) : running_(running) {}
+    std::size_t* running_;
+  };
+  enum class Refusal { unknown_team, class_not_agreed, rate, concurrency };
+  struct Verdict {
+    std::optional<Permit> permit;
+    Refusal refusal = Refusal::unknown_team;  // if there is no permit
+    Duration retry_after{};
+  };
+  Verdict ask(const std::string& team, const std::string& class_name, TimePoint now);
+
+ private:
+  struct Account {
+    TeamContract contract;
+    double tokens = 0;
+    TimePoint filled{};
+    std::size_t running = 0;
+  };
+  std::map<std::string, Account> accounts_;
+  std::size_t unbounded_ = 0;
+};
+
+}  // namespace kelpdeal
--- a/include/kelpdeal/gateway.h
+++ b/include/kelpdeal/gateway.h
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "kelpdeal/config.h"
+#include "kelpdeal/contract.h"
 #include "kelpdeal/metrics.h"
 #include "kelpdeal/scheduler.h"
 
@@ -13,12 +16,15 @@
 class Gateway {
  public:
   // Throws ConfigError if the configuration cannot be used, std::system_error if an address cannot be had.
-  Gateway(Scheduler& scheduler, Config config);
+  Gateway(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract = {});
   ~Gateway();
 
   // Begins a planned stop: the scheduler stops once all that was taken is answered.
   void drain();
   const Metrics& metrics() const;
+  // Where it listens; the second is empty without the OpenSearch-style front.
+  std::string address() const;
+  std::string search_address() const;
 
  private:
   struct Parts;
@@ -26,7 +32,7 @@
 };
 
 // The whole program: reads the environment, serves until SIGTERM or SIGINT, prints the counters, and returns
-// the exit status. SIGUSR1 prints the counters at any time.
+// the exit status. SIGUSR1 prints the counters at any time. `--front FILE` adds the OpenSearch-style front.
 int run_program(int argc, char** argv);
 
 }  // namespace kelpdeal
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -18,6 +18,10 @@
     parts = std::move(asked);
     in.assign(parts.size(), std::nullopt);
   }
+  void tell_missing(std::vector<int>& missing) const {
+    for (std::size_t i = 0; i < parts.size(); ++i)
+      if (!in[i]) missing.push_back(parts[i].shard);
+  }
 };
 
 // Counts what a request holds for as long as it lives.
@@ -130,6 +134,9 @@
   }
   Held held(open_, needs);
 
+  Reply reply;
+  for (const PartRequest& part : request.parts) reply.asked.push_back(part.shard);
+
   // Tell the module.
   Step step;
   step.start(request.parts);
@@ -137,6 +144,7 @@
   const RequestId query = driver_->query_arrived(request, choices);
   Registered registered(*driver_, caller, query);
   caller.on_leave = [&choices] { choices.put(ClientLeft{}); };
+  if (caller.gone()) choices.put(ClientLeft{});
   bool second = false, first_whole = false;
   std::vector<int> from;
 
@@ -169,22 +177,19 @@
         first_whole = answer->whole;
         for (std::size_t i = 0; i < step.in.size(); ++i)
           if (step.in[i]) from.push_back(step.parts[i].shard);
+        step.tell_missing(reply.missing);
         std::sort(from.begin(), from.end());
         step.start(second_step(step, static_cast<std::size_t>(cls->second_step)));
         held.change(1 + step.parts.size());
         driver_->parts_arrived(query, step.parts, choices);
         continue;
       }
-      Reply reply;
       reply.kind = Reply::Kind::answered;
       reply.whole = answer->whole;
-      reply.asked = static_cast<int>(step.parts.size());
-      for (std::size_t i = 0; i < step.parts.size(); ++i) {
+      step.tell_missing(reply.missing);
+      for (std::size_t i = 0; i < step.parts.size(); ++i)
         if (step.in[i])
-          reply.items.push_back({step.parts[i].shard, std::move(step.in[i]->value)});
-        else
-          reply.missing.push_back(step.parts[i].shard);
-      }
+          reply.items.push_back({step.parts[i].shard, step.in[i]->score, std::move(step.in[i]->value)});
       metrics_.count(reply.whole ? "queries.answered" : "queries.answered_partial");
       co_return reply;
 
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -31,7 +31,7 @@
 struct PartIn {
   int step = 0;
   std::size_t part = 0;
-  std::int64_t score = 0;
+  double score = 0;
   std::string value;
 };
 struct ClientLeft {};
--- /dev/null
+++ b/src/config/contract.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/contract.h"
+
+#include <algorithm>
+
+#include "kelpdeal/fields.h"
+
+namespace kelpdeal {
+namespace {
+
+const cottonbay::ClassSettings* find_class(const cottonbay::Settings& settings, const std::string& name) {
+  for (const cottonbay::ClassSettings& c : settings.classes)
+    if (c.name == name) return &c;
+  return nullptr;
+}
+
+IndexContract parse_index(const std::string& name, const json::Value& value,
+                          const cottonbay::Settings& settings) {
+  const Fields f(value, "indices." + name);
+  IndexContract index;
+  index.name = name;
+  index.class_name = f.needed_text("class");
+  if (!find_class(settings, index.class_name)) Fields::fail(f.path("class"), "unknown class");
+  index.first_slice = f.integer("first_slice", 0);
+  index.slices = f.integer("slices", settings.shards - index.first_slice, 1);
+  if (index.first_slice + index.slices > settings.shards)
+    Fields::fail(f.path("slices"), "there are only " + std::to_string(settings.shards) + " slices");
+  return index;
+}
+
+TeamContract parse_team(const std::string& name, const json::Value& value,
+                        const cottonbay::Settings& settings) {
+  const Fields f(value, "teams." + name);
+  TeamContract team;
+  team.name = name;
+  for (const json::Value& item : f.array("classes")) {
+    if (!item.string() || !find_class(settings, *item.string()))
+      Fields::fail(f.path("classes"), "unknown class");
+    team.classes.insert(*item.string());
+  }
+  if (team.classes.empty()) Fields::fail(f.path("classes"), "lists no class");
+  team.per_second = f.at_least("per_second", 0, 0);
+  team.burst = f.at_least("burst", std::max(1.0, team.per_second), 1);
+  team.concurrent = static_cast<std::size_t>(f.integer("concurrent", 0));
+  return team;
+}
+
+json::Value parse_file(const std::string& path, const char* what) {
+  std::string error;
+  auto value = json::parse(read_file(path, what), error);
+  if (!value) throw ConfigError(std::string(what) + ": " + path + " is not JSON: " + error);
+  return std::move(*value);
+}
+
+}  // namespace
+
+FrontContract parse_front_contract(const json::Value& file, const json::Value& agreements,
+                                   const cottonbay::Settings& settings) {
+  const Fields f(file, "");
+  FrontContract front;
+  front.listen = f.needed_text("listen");
+  const std::string nodes = f.text("node_api", "frames");
+  if (nodes != "frames" && nodes != "opensearch")
+    Fields::fail("node_api", "is neither frames nor opensearch");
+  front.opensearch_nodes = nodes == "opensearch";
+  const auto members = [&](const char* name) -> const json::Object& {
+    static const json::Object none;
+    const json::Value* value = agreements.find(name);
+    if (!value) return none;
+    if (!value->object()) Fields::fail(name, "is not an object");
+    return *value->object();
+  };
+  for (const auto& [name, value] : members("indices")) {
+    const auto same = [&name = name](const IndexContract& other) { return other.name == name; };
+    if (std::any_of(front.indices.begin(), front.indices.end(), same))
+      Fields::fail("indices." + name, "stands twice");
+    front.indices.push_back(parse_index(name, value, settings));
+  }
+  if (front.indices.empty()) Fields::fail("indices", "lists no index");
+  for (const auto& [name, value] : members("teams")) front.teams.push_back(parse_team(name, value, settings));
+  return front;
+}
+
+FrontContract load_front_contract(const std::string& path, const cottonbay::Settings& settings) {
+  const json::Value file = parse_file(path, "front file");
+  const std::string openapi = Fields(file, "").text("openapi", "");
+  if (openapi.empty()) return parse_front_contract(file, file, settings);
+  // The agreements stand in the description of the API, beside the paths that they are about.
+  const std::string folder = path.substr(0, path.rfind('/') + 1);
+  const json::Value description = parse_file(folder + openapi, "openapi");
+  const json::Value* agreements = description.find("x-kelpdeal-contracts");
+  if (!agreements) Fields::fail("openapi", openapi + " has no x-kelpdeal-contracts");
+  return parse_front_contract(file, *agreements, settings);
+}
+
+Budgets::Budgets(std::vector<TeamContract> teams) {
+  for (TeamContract& team : teams) {
+    Account& account = accounts_[team.name];
+    account.tokens = team.burst;
+    account.contract = std::move(team);
+  }
+}
+
+Budgets::Verdict Budgets::ask(const std::string& team, const std::string& class_name, TimePoint now) {
+  if (accounts_.empty()) {
+    ++unbounded_;
+    return {Permit(&unbounded_), {}, {}};
+  }
+  const auto it = accounts_.find(team);
+  if (it == accounts_.end()) return {std::nullopt, Refusal::unknown_team, {}};
+  Account& account = it->second;
+  const TeamContract& contract = account.contract;
+  if (!contract.classes.contains(class_name)) return {std::nullopt, Refusal::class_not_agreed, {}};
+  if (contract.concurrent > 0 && account.running >= contract.concurrent)
+    return {std::nullopt, Refusal::concurrency, std::chrono::seconds(1)};
+  if (contract.per_second > 0) {
+    if (account.filled != TimePoint{})
+      account.tokens = std::min(
+          contract.burst,
+          account.tokens + std::chrono::duration<double>(now - account.filled).count() * contract.per_second);
+    account.filled = now;
+    if (account.tokens < 1)
+      return {std::nullopt, Refusal::rate,
+              std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double>((1 - account.tokens) / contract.per_second))};
+    account.tokens -= 1;
+  }
+  ++account.running;
+  return {Permit(&account.running), {}, {}};
+}
+
+}  // namespace kelpdeal
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,8 @@
 #include "kelpdeal/discovery.h"
 #include "kelpdeal/frame_transport.h"
 #include "kelpdeal/http_server.h"
+#include "kelpdeal/opensearch_front.h"
+#include "kelpdeal/opensearch_transport.h"
 #include "kelpdeal/platform_front.h"
 
 namespace kelpdeal {
@@ -50,21 +52,33 @@
 }  // namespace
 
 struct Gateway::Parts {
-  Parts(Scheduler& scheduler, const Config& config)
+  Parts(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract)
       : scheduler(scheduler),
         limits(config.limits),
         metrics(config.limits.log_every),
         broker(scheduler, config, metrics),
-        transport(scheduler, config.limits, metrics, broker),
+        transport(make_transport(contract)),
         discovery(scheduler, needed_address(config.discovery, "discovery"), config.limits, metrics, broker),
         front(broker, config.limits, metrics),
         server(scheduler, needed_address(config.listen, "listen"), config.limits, metrics, front) {
     discovery.start_from(config.known.version);
-    broker.start(transport, discovery, config.known);
+    broker.start(*transport, discovery, config.known);
+    if (contract) {
+      search_front.emplace(scheduler, broker, *contract, config.limits, config.seed, metrics);
+      search_server.emplace(scheduler, needed_address(contract->listen, "front file: listen"), config.limits,
+                            metrics, *search_front);
+    }
+  }
+
+  std::unique_ptr<NodeTransport> make_transport(const std::optional<FrontContract>& contract) {
+    if (contract && contract->opensearch_nodes)
+      return std::make_unique<OpenSearchTransport>(scheduler, limits, metrics, broker);
+    return std::make_unique<FrameTransport>(scheduler, limits, metrics, broker);
   }
 
   void look_whether_drained(TimePoint last) {
-    if (server.drained() || Clock::now() >= last) return scheduler.stop();
+    const bool done = server.drained() && (!search_server || search_server->drained());
+    if (done || Clock::now() >= last) return scheduler.stop();
     drain_timer = scheduler.in(Milliseconds(10), [this, last] { look_whether_drained(last); });
   }
 
@@ -72,14 +86,17 @@
   const Limits limits;
   Metrics metrics;
   Broker broker;
-  FrameTransport transport;
+  std::unique_ptr<NodeTransport> transport;
   DiscoveryClient discovery;
   PlatformFront front;
   HttpServer server;
+  std::optional<OpenSearchFront> search_front;
+  std::optional<HttpServer> search_server;
   Timer drain_timer;
 };
 
-Gateway::Gateway(Scheduler& scheduler, Config config) : parts_(std::make_unique<Parts>(scheduler, config)) {
+Gateway::Gateway(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract)
+    : parts_(std::make_unique<Parts>(scheduler, config, contract)) {
   scheduler.on_failure = [this](std::exception_ptr failure) {
     // Guards against one request's fault ending all the others.
     try {
@@ -92,23 +109,37 @@
 
 Gateway::~Gateway() = default;
 
+std::string Gateway::address() const { return parts_->server.address().text(); }
+
+std::string Gateway::search_address() const {
+  return parts_->search_server ? parts_->search_server->address().text() : std::string();
+}
+
 const Metrics& Gateway::metrics() const { return parts_->metrics; }
 
 void Gateway::drain() {
   parts_->metrics.log("drain", "SIGTERM: finishing what was taken");
   parts_->front.unready();
   parts_->server.drain();
+  if (parts_->search_server) parts_->search_server->drain();
   parts_->look_whether_drained(Clock::now() + parts_->limits.drain_most);
 }
 
-int run_program(int, char**) {
+int run_program(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    Config config = load_config([](const char* name) {
+    std::string front_file;
+    if (argc == 3 && std::string_view(argv[1]) == "--front")
+      front_file = argv[2];
+    else if (argc != 1)
+      throw ConfigError("usage: kelpdeal [--front FILE]");
+    const Config config = load_config([](const char* name) {
       const char* value = std::getenv(name);
       return std::string(value ? value : "");
     });
-    const std::string name = config.name, listen = config.listen;
+    std::optional<FrontContract> contract;
+    if (!front_file.empty()) contract = load_front_contract(front_file, config.settings);
+    const std::string name = config.name;
     auto scheduler = std::make_unique<Scheduler>();
     std::unique_ptr<Gateway> gateway;
     const Signals signals(*scheduler, [&](int signal) {
@@ -117,8 +148,9 @@
       else
         gateway->drain();
     });
-    gateway = std::make_unique<Gateway>(*scheduler, std::move(config));
-    std::fprintf(stderr, "kelpdeal start: %s serves on %s\n", name.c_str(), listen.c_str());
+    gateway = std::make_unique<Gateway>(*scheduler, config, contract);
+    std::fprintf(stderr, "kelpdeal start: %s serves on %s\n", name.c_str(), gateway->address().c_str());
+    if (contract) std::fprintf(stderr, "kelpdeal start: searches on %s\n", gateway->search_address().c_str());
     scheduler->run();
     std::fprintf(stderr, "%skelpdeal stop: %s ends\n", gateway->metrics().text().c_str(), name.c_str());
     return 0;
--- /dev/null
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -0,0 +1,298 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/opensearch_transport.h"
+
+#include <algorithm>
+
+#include "kelpdeal/frame_transport.h"
+
+namespace kelpdeal {
+namespace {
+
+// Name and value pairs that tell a node which part is meant, how long we wait, and of a second step what the
+// first one found.
+json::Object options(const Attempt& attempt, TimePoint now) {
+  const auto left = std::chrono::ceil<Milliseconds>(attempt.until - now).count();
+  json::Object out{{"preference", "_shards:" + std::to_string(attempt.shard)},
+                   {"request_id", wire_id(attempt)},
+                   {"timeout", std::to_string(std::max<std::int64_t>(left, 1)) + "ms"}};
+  if (attempt.second) {
+    std::string from;
+    for (const int shard : attempt.from) from += (from.empty() ? "" : ",") + std::to_string(shard);
+    out.emplace_back("phase", "fetch");
+    out.emplace_back("from_shards", from);
+    out.emplace_back("whole", attempt.first_whole ? "true" : "false");
+  }
+  return out;
+}
+
+std::string percent_encode(std::string_view text) {
+  static constexpr std::string_view plain =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.~,:";
+  static constexpr char hex[] = "0123456789ABCDEF";
+  std::string out;
+  for (const char c : text) {
+    if (plain.find(c) != std::string_view::npos) {
+      out += c;
+    } else {
+      out += '%';
+      out += hex[static_cast<unsigned char>(c) >> 4];
+      out += hex[static_cast<unsigned char>(c) & 15];
+    }
+  }
+  return out;
+}
+
+// A body on one line; text that is no JSON object becomes a query of that text.
+std::string one_line(const std::string& text) {
+  std::string error;
+  const auto value = json::parse(text, error);
+  if (!value || !value->object())
+    return json::write(
+        json::Object{{"query", json::Object{{"query_string", json::Object{{"query", text}}}}}});
+  return text.find('\n') == std::string::npos ? text : json::write(*value);
+}
+
+}  // namespace
+
+http::Request write_node_request(const std::vector<Attempt>& parts, bool write, const std::string& host,
+                                 TimePoint now) {
+  http::Request request;
+  request.method = "POST";
+  request.headers.fields = {{"Host", host}, {"Content-Type", "application/json"}};
+  if (parts.size() > 1) {
+    request.target = "/_msearch";
+    request.headers.fields[1].second = "application/x-ndjson";
+    for (const Attempt& part : parts) {
+      json::Object header{{"index", part.class_name}};
+      for (json::Member& option : options(part, now)) header.push_back(std::move(option));
+      request.body += json::write(header) + "\n" + one_line(part.text) + "\n";
+    }
+    return request;
+  }
+  const Attempt& part = parts.front();
+  request.target = "/" + percent_encode(part.class_name);
+  if (write) {
+    request.method = "PUT";
+    request.target += "/_doc/" + percent_encode(part.key);
+    request.headers.fields.emplace_back("Idempotency-Key", part.key);
+  } else {
+    request.target += "/_search";
+  }
+  char separator = '?';
+  for (const auto& [name, value] : options(part, now)) {
+    request.target += separator + name + "=" + percent_encode(*value.string());
+    separator = '&';
+  }
+  request.body = write ? part.text : one_line(part.text);
+  return request;
+}
+
+AttemptResult read_node_answer(int status, const json::Value& body) {
+  AttemptResult result;
+  if (status == 429 || status == 503) {
+    result.outcome = Outcome::full;  // in this API's terms nothing was run
+  } else if (status != 200 && status != 201) {
+    result.outcome = Outcome::error;
+  } else if (body.number_or("_shards.failed", 0) > 0 || body.flag_or("timed_out", false)) {
+    result.outcome = Outcome::error;
+  } else {
+    result.outcome = Outcome::ok;
+    result.score = body.number_or("hits.max_score", 0);
+    const json::Value* hits = body.at("hits.hits");
+    result.value = json::write(hits ? *hits : body);
+  }
+  return result;
+}
+
+struct OpenSearchTransport::Call {
+  NodeId node = 0;
+  bool write = false;
+  std::vector<Attempt> parts;  // in the order written
+  std::vector<AttemptId> wanted;
+  std::unique_ptr<Stream> stream;
+  bool ended = false;
+};
+
+OpenSearchTransport::OpenSearchTransport(Scheduler& scheduler, const Limits& limits, Metrics& metrics,
+                                         AttemptSink& sink)
+    : scheduler_(scheduler), limits_(limits), metrics_(metrics), sink_(sink) {}
+
+OpenSearchTransport::~OpenSearchTransport() = default;
+
+void OpenSearchTransport::listed(NodeId id, const NodeEntry& entry) {
+  Node& node = nodes_[id];
+  if (entry.endpoint.empty()) return;
+  const auto address = Address::parse(entry.endpoint);
+  if (!address) return metrics_.log("discovery", "node " + entry.uid + " has no usable endpoint");
+  if (node.address && node.address->text() != address->text()) node.idle.clear();
+  node.address = address;
+}
+
+void OpenSearchTransport::send(NodeId node, std::vector<Attempt> call) {
+  // Documents are written one by one, searches of one call together.
+  std::vector<Attempt> searches;
+  for (Attempt& attempt : call) {
+    if (attempt.key.empty()) {
+      searches.push_back(std::move(attempt));
+    } else {
+      std::vector<Attempt> one;
+      one.push_back(std::move(attempt));
+      start(node, std::move(one), true);
+    }
+  }
+  if (!searches.empty()) start(node, std::move(searches), false);
+}
+
+void OpenSearchTransport::start(NodeId node, std::vector<Attempt> parts, bool write) {
+  auto call = std::make_shared<Call>();
+  call->node = node;
+  call->write = write;
+  for (const Attempt& part : parts) {
+    call->wanted.push_back(part.id);
+    where_[part.id] = call;
+  }
+  call->parts = std::move(parts);
+  scheduler_.spawn(run(std::move(call)));
+}
+
+void OpenSearchTransport::give_up(AttemptId attempt, Why) {
+  const auto it = where_.find(attempt);
+  if (it == where_.end()) return;
+  const CallPtr call = it->second.lock();
+  where_.erase(it);
+  if (!call) return;
+  std::erase(call->wanted, attempt);
+  if (!call->wanted.empty()) return;
+  // Closing the connection is how this API gives a request up.
+  call->ended = true;
+  if (call->stream) call->stream->cancel();
+}
+
+void OpenSearchTransport::probe(NodeId node) { scheduler_.spawn(run_probe(node)); }
+void OpenSearchTransport::close_idle(NodeId node) { nodes_[node].idle.clear(); }
+
+// A kept connection, or a new one. Null if there is none to be had.
+Task<std::unique_ptr<Stream>> OpenSearchTransport::open(NodeId id) {
+  Node& node = nodes_[id];
+  while (!node.idle.empty()) {
+    Kept kept = std::move(node.idle.back());
+    node.idle.pop_back();
+    // Guards against a request written just as the node closes an idle connection.
+    if (kept.stream->has_input() || Clock::now() - kept.since > limits_.node_idle) continue;
+    co_return std::move(kept.stream);
+  }
+  if (!node.address || connections_ >= limits_.node_connections) co_return nullptr;
+  metrics_.count("node.connections_opened");
+  const Address to = *node.address;
+  co_return co_await connect(scheduler_, to, Clock::now() + limits_.connect_timeout);
+}
+
+void OpenSearchTransport::keep(NodeId node, std::unique_ptr<Stream> stream) {
+  std::deque<Kept>& idle = nodes_[node].idle;
+  idle.push_back({std::move(stream), Clock::now()});
+  // Guards against connections that pile up after a rush.
+  while (!idle.empty() && Clock::now() - idle.front().since > limits_.node_idle) idle.pop_front();
+  if (idle.size() > limits_.parts_per_connection) idle.pop_front();
+}
+
+Task<std::optional<http::Response>> OpenSearchTransport::read(Stream& stream, TimePoint deadline) {
+  http::Bounds bounds = limits_.http;
+  bounds.body = limits_.frame_bytes;
+  http::Parser<http::Response> parser(bounds);
+  std::vector<char> chunk(limits_.read_chunk);
+  for (;;) {
+    const IoResult got = co_await stream.read_some(chunk, deadline);
+    if (got.io == Io::ended && parser.finish_at_end()) co_return parser.take();
+    if (got.io != Io::ok) co_return std::nullopt;
+    parser.feed({chunk.data(), got.bytes});
+    const http::State state = parser.advance();
+    if (state == http::State::done) co_return parser.take();
+    if (state == http::State::bad) {
+      metrics_.log("node-api", "a record node's answer could not be read: " + parser.problem());
+      co_return std::nullopt;
+    }
+  }
+}
+
+Task<void> OpenSearchTransport::run(CallPtr call) {
+  ++connections_;
+  std::unique_ptr<Stream> opened = co_await open(call->node);
+  call->stream = std::move(opened);
+  if (!call->stream || call->ended) {
+    finish(*call, Outcome::connect_failed);
+  } else {
+    const std::string host = nodes_[call->node].address->text();
+    const std::string bytes = http::write(write_node_request(call->parts, call->write, host, Clock::now()));
+    const IoResult put = co_await call->stream->write_all(bytes);
+    if (put.io != Io::ok) {
+      finish(*call, Outcome::connect_failed);  // its last byte was not written: it has not run
+    } else {
+      TimePoint last{};
+      for (const Attempt& part : call->parts) last = std::max(last, part.until);
+      const std::optional<http::Response> response =
+          co_await read(*call->stream, last + limits_.connect_timeout);
+      if (!response) {
+        finish(*call, Outcome::reset);
+      } else {
+        const bool reusable = response->keeps_alive();
+        finish(*call, *response);
+        if (reusable) keep(call->node, std::move(call->stream));
+      }
+    }
+  }
+  --connections_;
+}
+
+Task<void> OpenSearchTransport::run_probe(NodeId node) {
+  const TimePoint start = Clock::now();
+  Outcome outcome = Outcome::connect_failed;
+  std::unique_ptr<Stream> stream = co_await open(node);
+  if (stream) {
+    http::Request request;
+    request.method = "GET";
+    request.target = "/";
+    request.headers.fields = {{"Host", nodes_[node].address->text()}};
+    const std::string bytes = http::write(request);
+    const TimePoint deadline = start + limits_.probe_timeout;
+    if ((co_await stream->write_all(bytes, deadline)).io == Io::ok) {
+      const std::optional<http::Response> response = co_await read(*stream, deadline);
+      outcome = !response ? Outcome::timeout : response->status == 200 ? Outcome::ok : Outcome::error;
+      if (response && response->keeps_alive()) keep(node, std::move(stream));
+    }
+  }
+  sink_.probe_ended(node, outcome, Clock::now() - start, {});
+}
+
+void OpenSearchTransport::finish(AttemptId attempt, AttemptResult result) {
+  if (where_.erase(attempt) > 0) sink_.attempt_ended(attempt, std::move(result));
+}
+
+void OpenSearchTransport::finish(Call& call, Outcome outcome) {
+  AttemptResult result;
+  result.outcome = outcome;
+  for (const AttemptId attempt : std::exchange(call.wanted, {})) finish(attempt, result);
+}
+
+void OpenSearchTransport::finish(Call& call, const http::Response& response) {
+  std::string error;
+  const auto body = json::parse(response.body, error);
+  const json::Value* answers = body && call.parts.size() > 1 ? body->find("responses") : nullptr;
+  const bool each = answers && answers->array() && answers->array()->size() == call.parts.size();
+  const bool usable = body && (call.parts.size() == 1 || each);
+  if (!usable && response.status == 200) metrics_.log("node-api", "a record node's answer could not be read");
+  for (std::size_t i = 0; i < call.parts.size(); ++i) {
+    AttemptResult result;
+    if (each && response.status == 200) {
+      const json::Value& one = (*answers->array())[i];
+      result = read_node_answer(static_cast<int>(one.number_or("status", 200)), one);
+    } else {
+      // An answer that cannot be read may have run all the same.
+      result = read_node_answer(usable || response.status != 200 ? response.status : 500,
+                                body ? *body : json::Value());
+    }
+    finish(call.parts[i].id, std::move(result));
+  }
+  call.wanted.clear();
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/tests/both_apis_test.cpp
@@ -0,0 +1,266 @@
+// SPDX-License-Identifier: MIT
+// The rules, on real sockets: each is checked through both fronts and with both kinds of record node, and the
+// outcomes have to be the same.
+#include <sstream>
+
+#include "stand_ins.h"
+
+namespace kelpdeal::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+Result answered(bool whole, const char* hits) {
+  Result result;
+  result.kind = "answered";
+  result.whole = whole;
+  std::istringstream words(hits);
+  for (std::string word; words >> word;) result.hits.insert(word);
+  return result;
+}
+
+class BothApis : public testing::TestWithParam<std::pair<Api, Api>> {
+ protected:
+  static Options options() { return {GetParam().first, GetParam().second}; }
+  static Answer answer(Answer::Kind kind) { return {kind, 1, {}}; }
+};
+
+TEST_P(BothApis, AWholeAnswerHoldsEveryPart) {
+  World world(options());
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("equipment-search", "0,1,2,3", 1s);
+    EXPECT_EQ(result, answered(true, "s0 s1 s2 s3"));
+    EXPECT_EQ(world.parts_seen(), 4u);
+  }());
+}
+
+TEST_P(BothApis, PartsForOneNodeTravelAsOneCall) {
+  Options one = options();
+  one.node_count = 1;
+  World world(one);
+  world.start();
+  world.run([&]() -> Task<void> {
+    co_await world.ask("equipment-search", "0,1,2,3", 1s);
+    EXPECT_EQ(world.nodes[0]->seen.size(), 4u);
+    for (const Seen& part : world.nodes[0]->seen) EXPECT_EQ(part.call, 1u);
+  }());
+}
+
+TEST_P(BothApis, TheSecondStepAsksTheBestShardsAndNamesThoseThatWereIn) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen& part) { return Answer{Answer::Kind::serve, 10.0 + part.shard, {}}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("area-report", "0,1,2,3,4", 1s);
+    EXPECT_EQ(result, answered(true, "s3 s4"));
+    std::size_t second = 0;
+    for (const auto& node : world.nodes)
+      for (const Seen& part : node->seen) {
+        if (!part.id.ends_with(".phase2")) continue;
+        ++second;
+        EXPECT_EQ(part.from, "0+1+2+3+4");
+        EXPECT_EQ(part.whole, "1");
+        EXPECT_TRUE(part.id.ends_with("." + std::to_string(part.shard) + ".phase2"));
+      }
+    EXPECT_EQ(second, 2u);
+  }());
+}
+
+TEST_P(BothApis, APartialReportSaysThatItIsPartial) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen& part) {
+      return Answer{part.shard == 2 ? Answer::Kind::silent : Answer::Kind::serve, 1, {}};
+    };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("area-report", "0,1,2,3,4", 1s);
+    EXPECT_EQ(result.kind, "answered");
+    EXPECT_FALSE(result.whole);
+    EXPECT_EQ(result.hits.size(), 2u);
+    for (const auto& node : world.nodes)
+      for (const Seen& part : node->seen) EXPECT_EQ(part.whole, part.id.ends_with(".phase2") ? "0" : "");
+  }());
+}
+
+TEST_P(BothApis, NothingIsAnsweredFromLessThanTheLeastShare) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen& part) {
+      return Answer{part.shard >= 3 ? Answer::Kind::silent : Answer::Kind::serve, 1, {}};
+    };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const TimePoint start = Clock::now();
+    const Result result = co_await world.ask("area-report", "0,1,2,3,4", 700ms);
+    EXPECT_NE(result.kind, "answered");
+    EXPECT_LT(Clock::now() - start, 750ms);  // one final answer before the client's time is up
+  }());
+}
+
+TEST_P(BothApis, APartIsSentToAnotherHolderAfterAnError) {
+  World world(options());
+  world.nodes[0]->behave = [](const Seen&) { return Answer{Answer::Kind::error, 1, {}}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("equipment-search", "0", 1s);
+    EXPECT_EQ(result, answered(true, "s0"));
+  }());
+}
+
+TEST_P(BothApis, AttemptsOfAPartAreCapped) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::error, 1, {}}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("equipment-search", "0", 1s);
+    EXPECT_NE(result.kind, "answered");
+    EXPECT_GE(world.parts_seen(), 2u);
+    EXPECT_LE(world.parts_seen(), 4u);
+  }());
+}
+
+TEST_P(BothApis, AKeyedPartIsResentOnlyWithinItsWindowAndUnderItsKey) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::silent, 1, {}}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("inspection-log", "0", 1100ms, "key7");
+    // It may have run, so its end is no refusal, which would promise that asking again is harmless.
+    EXPECT_EQ(result.kind, "failed");
+    TimePoint first = kNever;
+    for (const auto& node : world.nodes)
+      for (const Seen& part : node->seen) first = std::min(first, part.at);
+    for (const auto& node : world.nodes)
+      for (const Seen& part : node->seen) {
+        EXPECT_EQ(part.key, "key7");
+        EXPECT_LE(part.at - first, 650ms);
+      }
+  }());
+}
+
+TEST_P(BothApis, ARefusedConnectionProvesThatThePartNeverRan) {
+  World world(options());
+  world.nodes[0]->stop();
+  world.start();
+  world.run([&]() -> Task<void> {
+    for (int i = 0; i < 4; ++i) {
+      const Result result = co_await world.ask("inspection-log", "0", 1s, "k" + std::to_string(i));
+      EXPECT_EQ(result, answered(true, ""));
+    }
+    EXPECT_EQ(world.nodes[1]->seen.size(), 4u);
+  }());
+}
+
+TEST_P(BothApis, AConnectionThatBreaksAfterTheWriteIsAReset) {
+  World world(options());
+  bool first = true;
+  for (auto& node : world.nodes)
+    node->behave = [&first](const Seen&) {
+      return Answer{std::exchange(first, false) ? Answer::Kind::reset : Answer::Kind::serve, 1, {}};
+    };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const Result result = co_await world.ask("equipment-search", "0", 1s);
+    EXPECT_EQ(result, answered(true, "s0"));
+    EXPECT_EQ(world.gateway->metrics().value("attempts.reset"), 1u);
+  }());
+}
+
+TEST_P(BothApis, NothingNewGoesToANodeThatDrains) {
+  World world(options());
+  world.start();
+  world.run([&]() -> Task<void> {
+    co_await world.ask("equipment-search", "0,1,2", 1s);
+    world.discovery->set("n1", world.nodes[1]->address(), 1, "terminating");
+    co_await world.pause(50ms);
+    const std::size_t before = world.nodes[1]->seen.size();
+    // A search over several indices whose slices the draining node holds too.
+    for (int i = 0; i < 5; ++i) {
+      const Result result = co_await world.ask("equipment-search", "0,1,2,3,4", 1s);
+      EXPECT_EQ(result, answered(true, "s0 s1 s2 s3 s4"));
+    }
+    EXPECT_EQ(world.nodes[1]->seen.size(), before);
+  }());
+}
+
+TEST_P(BothApis, AColdNodeIsSpared) {
+  World world(options());
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  world.discovery->set("n0", world.nodes[0]->address(), 0, "in_service",
+                       std::chrono::duration_cast<Milliseconds>(now).count());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 20ms}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    for (int i = 0; i < 10; ++i) {
+      const Result result = co_await world.ask("equipment-search", "0,3", 1s);
+      EXPECT_EQ(result.kind, "answered");
+    }
+    // Both slices are held by the cold node and a warm one; the cold one gets a few at the most.
+    EXPECT_LE(world.nodes[0]->seen.size(), 6u);
+    EXPECT_GE(world.nodes[1]->seen.size(), 14u);
+  }());
+}
+
+TEST_P(BothApis, WhatAClientNoLongerWaitsForIsGivenUp) {
+  World world(options());
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::silent, 1, {}}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    const std::string address =
+        world.options.front == Api::platform ? world.gateway->address() : world.gateway->search_address();
+    {
+      const Address to = *Address::parse(address);
+      const auto stream = co_await connect(world.scheduler, to, Clock::now() + 1s);
+      const std::string bytes = http::write(world.request("equipment-search", "0", 1s, ""));
+      co_await stream->write_all(bytes);
+      while (world.parts_seen() == 0) co_await world.pause(2ms);
+    }  // the client leaves
+    co_await world.pause(60ms);
+    std::size_t given_up = 0;
+    for (const auto& node : world.nodes) given_up += node->given_up.size();
+    EXPECT_EQ(given_up, 1u);
+    EXPECT_EQ(world.gateway->metrics().value("queries.withdrawn"), 1u);
+  }());
+}
+
+TEST_P(BothApis, MoreThanMayBeHeldIsRefusedAtOnce) {
+  Options few = options();
+  few.open_cap = 4;
+  World world(few);
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 200ms}; };
+  world.start();
+  world.run([&]() -> Task<void> {
+    std::optional<Result> first;
+    const auto ask_first = [&]() -> Task<void> { first = co_await world.ask("equipment-search", "0,1", 1s); };
+    world.scheduler.spawn(ask_first());
+    while (world.parts_seen() == 0) co_await world.pause(2ms);
+    const TimePoint start = Clock::now();
+    const Result second = co_await world.ask("equipment-search", "2,3", 1s);
+    EXPECT_EQ(second.kind, "refused");
+    EXPECT_LT(Clock::now() - start, 100ms);
+    while (!first) co_await world.pause(2ms);
+    EXPECT_EQ(*first, answered(true, "s0 s1"));
+  }());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fronts, BothApis,
+    testing::Values(std::pair(Api::platform, Api::platform), std::pair(Api::opensearch, Api::platform),
+                    std::pair(Api::platform, Api::opensearch), std::pair(Api::opensearch, Api::opensearch)),
+    [](const auto& info) {
+      const auto name = [](Api api) {
+        return api == Api::platform ? std::string("Platform") : std::string("OpenSearch");
+      };
+      return name(info.param.first) + "Front" + name(info.param.second) + "Nodes";
+    });
+
+}  // namespace
+}  // namespace kelpdeal::test
--- /dev/null
+++ b/tests/stand_ins.cpp
@@ -0,0 +1,425 @@
+// SPDX-License-Identifier: MIT
+#include "stand_ins.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace kelpdeal::test {
+namespace {
+
+const Address kAnyPort = *Address::parse("127.0.0.1:0");
+
+std::string hits_of(int shard, double score) {
+  return json::write(json::Array{json::Object{{"_id", "s" + std::to_string(shard)}, {"_score", score}}});
+}
+
+// Reads requests off a connection until it ends.
+Task<bool> next_request(Stream& stream, http::Parser<http::Request>& parser) {
+  std::vector<char> chunk(4096);
+  http::State state = parser.advance();
+  while (state == http::State::more) {
+    const IoResult got = co_await stream.read_some(chunk);
+    if (got.io != Io::ok) co_return false;
+    parser.feed({chunk.data(), got.bytes});
+    state = parser.advance();
+  }
+  co_return state == http::State::done;
+}
+
+http::Response json_response(int status, const json::Value& body) {
+  http::Response response;
+  response.status = status;
+  response.body = json::write(body);
+  return response;
+}
+
+}  // namespace
+
+std::string header_of(const http::Response& response, const char* name) {
+  const std::string* value = response.headers.find(name);
+  return value ? *value : std::string();
+}
+
+json::Value body_of(const http::Response& response) {
+  std::string error;
+  auto value = json::parse(response.body, error);
+  EXPECT_TRUE(value) << error << ": " << response.body;
+  return value ? *value : json::Value();
+}
+
+// ---- a record node ----
+Node::Node(Scheduler& scheduler, Api api)
+    : scheduler_(scheduler), api_(api), listener_(scheduler, kAnyPort, 64) {
+  scheduler_.spawn(accept_all());
+}
+
+std::size_t Node::seen_of_shard(int shard) const {
+  return static_cast<std::size_t>(
+      std::count_if(seen.begin(), seen.end(), [shard](const Seen& s) { return s.shard == shard; }));
+}
+
+Task<void> Node::accept_all() {
+  while (Link link = co_await listener_.accept()) {
+    ++connections;
+    if (api_ == Api::platform)
+      scheduler_.spawn(serve_frames(std::move(link)));
+    else
+      scheduler_.spawn(serve_http(std::move(link)));
+  }
+}
+
+Task<void> Node::serve_frames(Link link) {
+  frames::Reader reader(1 << 20);
+  std::vector<char> chunk(4096);
+  for (;;) {
+    const IoResult got = co_await link->read_some(chunk);
+    if (got.io != Io::ok) co_return;
+    reader.feed({chunk.data(), got.bytes});
+    while (const auto frame = reader.next()) {
+      if (frame->letter == frames::kGiveUp) given_up.push_back(frame->rest);
+      if (frame->letter != frames::kCall) continue;
+      const auto parts = frames::decode_call(frame->rest);
+      EXPECT_TRUE(parts) << frame->rest;
+      if (!parts) co_return;
+      ++calls_;
+      for (const frames::CallPart& part : *parts) {
+        Seen one;
+        one.id = part.id;
+        one.shard = part.shard;
+        one.text = part.text;
+        one.call = calls_;
+        one.at = Clock::now();
+        std::istringstream list(part.list);
+        for (std::string item; std::getline(list, item, ',');) {
+          const std::string name = item.substr(0, item.find('=')), value = item.substr(item.find('=') + 1);
+          if (name == "d") one.wait_ms = std::stoll(value);
+          if (name == "k") one.key = value;
+          if (name == "from") one.from = value;
+          if (name == "whole") one.whole = value;
+        }
+        seen.push_back(one);
+        scheduler_.spawn(answer_frame(link, std::move(one)));
+      }
+    }
+  }
+}
+
+Task<void> Node::answer_frame(Link link, Seen part) {
+  const Answer answer = behave(part);
+  if (answer.after > Duration::zero()) co_await scheduler_.sleep_until(Clock::now() + answer.after);
+  if (answer.kind == Answer::Kind::silent) co_return;
+  if (answer.kind == Answer::Kind::reset) {
+    link->finish_writing();
+    link->cancel();
+    co_return;
+  }
+  frames::AnswerPart out;
+  out.id = part.id;
+  out.end = answer.kind == Answer::Kind::serve ? 'S' : answer.kind == Answer::Kind::busy ? 'B' : 'E';
+  out.score = static_cast<std::int64_t>(answer.score);
+  if (out.end == 'S') out.value = hits_of(part.shard, answer.score);
+  const std::string bytes = frames::encode_answer(out);
+  co_await link->write_all(bytes);
+}
+
+Task<void> Node::serve_http(Link link) {
+  http::Parser<http::Request> parser({});
+  while (co_await next_request(*link, parser)) {
+    const http::Request request = parser.take();
+    const std::size_t before = seen.size();
+    bool gone = false, reset = false, silent = false;
+    link->on_hang_up([this, &gone, before] {
+      gone = true;
+      for (std::size_t i = before; i < seen.size(); ++i) given_up.push_back(seen[i].id);
+    });
+    const http::Response response = co_await answer_http(request, reset, silent);
+    if (reset) co_return;
+    while (silent && !gone) co_await scheduler_.sleep_until(Clock::now() + Milliseconds(5));
+    link->on_hang_up(nullptr);
+    if (gone) co_return;
+    const std::string bytes = http::write(response);
+    co_await link->write_all(bytes);
+  }
+}
+
+Task<http::Response> Node::answer_http(const http::Request& request, bool& reset, bool& silent) {
+  ++calls_;
+  std::vector<json::Value> headers;
+  const bool write = request.method == "PUT";
+  if (request.path() == "/_msearch") {
+    std::istringstream lines(request.body);
+    for (std::string header, body; std::getline(lines, header) && std::getline(lines, body);) {
+      std::string error;
+      headers.push_back(*json::parse(header, error));
+    }
+  } else {
+    json::Object header;
+    for (const char* name : {"preference", "request_id", "timeout", "from_shards", "whole"})
+      if (const auto value = request.parameter(name)) header.emplace_back(name, *value);
+    headers.emplace_back(std::move(header));
+  }
+  json::Array responses;
+  Duration slowest{};
+  for (const json::Value& header : headers) {
+    Seen one;
+    one.id = header.text_or("request_id", "");
+    one.shard = std::stoi(header.text_or("preference", "_shards:-1").substr(8));
+    one.wait_ms = std::stoll(header.text_or("timeout", "0ms"));
+    one.from = header.text_or("from_shards", "");
+    std::replace(one.from.begin(), one.from.end(), ',', '+');
+    const std::string whole = header.text_or("whole", "");
+    one.whole = whole.empty() ? "" : whole == "true" ? "1" : "0";
+    if (const std::string* key = request.headers.find("Idempotency-Key")) one.key = *key;
+    one.text = request.body;
+    one.call = calls_;
+    one.at = Clock::now();
+    seen.push_back(one);
+    const Answer answer = behave(one);
+    slowest = std::max(slowest, answer.after);
+    silent |= answer.kind == Answer::Kind::silent;
+    reset |= answer.kind == Answer::Kind::reset;
+    const int status = answer.kind == Answer::Kind::busy    ? 429
+                       : answer.kind == Answer::Kind::error ? 500
+                                                            : 200;
+    std::string error;
+    json::Object body{{"status", status}, {"timed_out", false}};
+    if (status == 200)
+      body.emplace_back("hits",
+                        json::Object{{"max_score", answer.score},
+                                     {"hits", *json::parse(hits_of(one.shard, answer.score), error)}});
+    responses.emplace_back(std::move(body));
+  }
+  if (slowest > Duration::zero()) co_await scheduler_.sleep_until(Clock::now() + slowest);
+  if (headers.size() > 1) co_return json_response(200, json::Object{{"responses", std::move(responses)}});
+  const int status = static_cast<int>(responses[0].number_or("status", 500));
+  co_return json_response(write && status == 200 ? 201 : status, responses[0]);
+}
+
+// ---- discovery ----
+Discovery::Discovery(Scheduler& scheduler) : scheduler_(scheduler), listener_(scheduler, kAnyPort, 64) {
+  scheduler_.spawn(accept_all());
+}
+
+void Discovery::set(const std::string& uid, const std::string& endpoint, int cell, const std::string& state,
+                    std::int64_t boot_ms) {
+  targets_[uid] = {json::Object{{"uid", uid},
+                                {"endpoint", endpoint},
+                                {"az", "a"},
+                                {"model", "m"},
+                                {"pod_group", cell},
+                                {"state", state},
+                                {"capacity_hint", 1.0},
+                                {"boot_ms", boot_ms}},
+                   ++version_};
+}
+
+std::string Discovery::list(bool whole, std::uint64_t after) const {
+  json::Array targets;
+  for (const auto& [uid, target] : targets_)
+    if (whole || target.version > after) targets.push_back(target.entry);
+  return json::write(json::Object{{"rev", version_}, {"all", whole}, {"targets", std::move(targets)}});
+}
+
+Task<void> Discovery::accept_all() {
+  while (std::shared_ptr<Stream> stream = co_await listener_.accept())
+    scheduler_.spawn(serve(std::move(stream)));
+}
+
+Task<void> Discovery::serve(std::shared_ptr<Stream> stream) {
+  http::Parser<http::Request> parser({});
+  while (co_await next_request(*stream, parser)) {
+    const http::Request request = parser.take();
+    called.push_back(Clock::now());
+    const auto index = request.parameter("index");
+    const auto wait = request.parameter("wait");
+    const std::uint64_t after = index ? std::stoull(*index) : 0;
+    const TimePoint until = Clock::now() + Milliseconds(wait ? std::stoll(*wait) : 0);
+    while (index && version_ <= after && Clock::now() < until && !failing)
+      co_await scheduler_.sleep_until(Clock::now() + Milliseconds(2));
+    http::Response response;
+    response.status = failing ? 503 : 200;
+    response.body = failing ? "" : list(!index, after);
+    const std::string bytes = http::write(response);
+    co_await stream->write_all(bytes);
+    answered.push_back(Clock::now());
+  }
+}
+
+// ---- the world ----
+World::World(Options given) : options(given) {
+  discovery = std::make_unique<Discovery>(scheduler);
+  for (int i = 0; i < options.node_count; ++i) {
+    nodes.push_back(std::make_unique<Node>(scheduler, options.nodes));
+    discovery->set("n" + std::to_string(i), nodes.back()->address(), i, "in_service");
+  }
+}
+
+World::~World() = default;
+
+std::string World::config_text() const {
+  const auto grade = [](const char* name, int aim, int deadline, const char* effect, double worth,
+                        double late) {
+    return json::Object{{"name", name},   {"sloMs", aim},      {"deadlineMs", deadline}, {"effect", effect},
+                        {"worth", worth}, {"lateWorth", late}, {"dedupWindowMs", 600},   {"stream", false}};
+  };
+  std::string error;
+  json::Object settings{{"grades", json::Array{grade("area-report", 500, 1200, "idempotent", 3, 0.1),
+                                               grade("equipment-search", 500, 1200, "idempotent", 1, 0.1),
+                                               grade("inspection-log", 500, 1200, "deduplicated", 1, 0)}},
+                        {"balancers", 1},
+                        {"discovery", "subscribe"},
+                        {"resolutionMs", 5},
+                        {"familyInfo", json::Object{{"batch", 8},
+                                                    {"callMs", 1},
+                                                    {"followUp", json::Array{2, 0, 0}},
+                                                    {"minShare", json::Array{0.8, 1, 1}},
+                                                    {"wholeAt", json::Array{1, 1, 1}},
+                                                    {"partialEarns", json::Array{0.8, 0.9, 0.9}},
+                                                    {"places", options.node_count},
+                                                    {"reach", std::min(2, options.node_count)},
+                                                    {"shards", options.shards}}},
+                        {"limits", json::Object{{"cancel", true},
+                                                {"connIdleMs", 30'000},
+                                                {"dialTimeoutMs", 100},
+                                                {"maxRetryAfterMs", 2'000},
+                                                {"multiplex", 32},
+                                                {"openCap", options.open_cap},
+                                                {"parallelTries", true},
+                                                {"probing", true},
+                                                {"retryAfter", true},
+                                                {"sendCap", 4}}},
+                        {"guarantees", json::Object{{"askEveryMs", 2'000},
+                                                    {"coldFrom", 0.32},
+                                                    {"coldMs", 18'000},
+                                                    {"graceToAnswerMs", 20},
+                                                    {"overloadForMs", 1'000},
+                                                    {"stopSendingWithinMs", 2'000},
+                                                    {"tipMultiple", 3}}}};
+  return json::write(json::Object{{"name", "n0"},
+                                  {"listen", "127.0.0.1:0"},
+                                  {"discovery", discovery->address()},
+                                  {"seed", "8c1f30d27a5be964"},
+                                  {"limits", json::Object{{"sockets", 1024}}},
+                                  {"known", *json::parse(discovery->list(true, 0), error)},
+                                  {"settings", std::move(settings)}});
+}
+
+void World::start() {
+  std::string error;
+  Config config = parse_config(*json::parse(config_text(), error));
+  config.limits.watch_wait = Milliseconds(options.watch_wait_ms);
+  FrontContract contract;
+  contract.listen = "127.0.0.1:0";
+  contract.opensearch_nodes = options.nodes == Api::opensearch;
+  for (const cottonbay::ClassSettings& c : config.settings.classes)
+    for (int slice = 0; slice < options.shards; ++slice)
+      contract.indices.push_back({c.name + "-" + std::to_string(slice), c.name, slice, 1});
+  gateway = std::make_unique<Gateway>(scheduler, config, contract);
+}
+
+void World::run(Task<void> task, Duration most) {
+  bool done = false;
+  // The lambda outlives the coroutine, as run() returns only after it.
+  const auto whole = [&]() -> Task<void> {
+    co_await std::move(task);
+    done = true;
+    scheduler.stop();
+  };
+  scheduler.spawn(whole());
+  const Timer guard = scheduler.in(most, [this] { scheduler.stop(); });
+  scheduler.run();
+  ASSERT_TRUE(done) << "the test's steps did not come to an end";
+}
+
+Task<http::Response> World::send(const std::string& address, http::Request request) {
+  const Address to = *Address::parse(address);
+  const std::unique_ptr<Stream> stream =
+      co_await connect(scheduler, to, Clock::now() + std::chrono::seconds(2));
+  http::Response response;
+  if (!stream) co_return response;
+  const std::string bytes = http::write(request);
+  co_await stream->write_all(bytes);
+  http::Parser<http::Response> parser({});
+  std::vector<char> chunk(4096);
+  while (parser.advance() == http::State::more) {
+    const IoResult got = co_await stream->read_some(chunk, Clock::now() + std::chrono::seconds(10));
+    if (got.io != Io::ok) co_return response;
+    parser.feed({chunk.data(), got.bytes});
+  }
+  if (parser.advance() == http::State::done) response = parser.take();
+  co_return response;
+}
+
+http::Request World::request(const std::string& class_name, const std::string& list, Duration budget,
+                             const std::string& key) {
+  std::vector<int> slices;
+  std::istringstream items(list);
+  for (std::string item; std::getline(items, item, ',');) slices.push_back(std::stoi(item));
+  const std::string ms = std::to_string(std::chrono::duration_cast<Milliseconds>(budget).count());
+  http::Request request;
+  request.method = "POST";
+  const bool write = class_name == "inspection-log";
+  if (options.front == Api::platform) {
+    request.target = "/" + class_name;
+    request.headers.fields = {{"Host", "backend.local"},
+                              {"X-Call-Id", "q" + std::to_string(++next_id_)},
+                              {"X-Call-Class", class_name},
+                              {"X-Budget-Ms", ms}};
+    if (write) request.headers.fields.emplace_back("Idempotency-Key", key);
+    json::Array parts;
+    for (const int slice : slices)
+      parts.push_back(json::Object{{"slice", slice}, {"mass", 1.0 / static_cast<double>(slices.size())}});
+    request.body = json::write(json::Object{{"slices", std::move(parts)}, {"filter", "{\"q\":1}"}});
+    return request;
+  }
+  for (const int slice : slices)
+    request.target += (request.target.empty() ? "/" : ",") + class_name + "-" + std::to_string(slice);
+  if (write) {
+    request.target += "/_doc?timeout=" + ms + "ms";
+    request.headers.fields.emplace_back("Idempotency-Key", key);
+  } else {
+    request.target += "/_search?timeout=" + ms + "ms";
+  }
+  request.body = "{\"q\":1}";
+  return request;
+}
+
+Task<Result> World::ask(const std::string& class_name, std::string slices, Duration budget, std::string key) {
+  http::Request asked = request(class_name, slices, budget, key);
+  const std::string address = options.front == Api::platform ? gateway->address() : gateway->search_address();
+  const http::Response response = co_await send(address, std::move(asked));
+  Result result;
+  if (response.status != 200 && response.status != 201) {
+    result.kind = response.status == 429 ? "refused" : response.status >= 500 ? "failed" : "bad";
+    co_return result;
+  }
+  result.kind = "answered";
+  const json::Value body = body_of(response);
+  if (class_name == "inspection-log") {
+    // What a write's answer tells in either API: that it is in.
+    result.whole = body.flag_or("entire", body.text_or("result", "") == "created");
+    co_return result;
+  }
+  const auto add = [&result](const json::Value& hits) {
+    if (hits.array())
+      for (const json::Value& hit : *hits.array()) result.hits.insert(hit.text_or("_id", "?"));
+  };
+  if (options.front == Api::platform) {
+    result.whole = body.flag_or("entire", false);
+    std::string error;
+    for (const json::Value& item : *body.find("items")->array())
+      add(json::parse(item.text_or("body", "[]"), error).value_or(json::Value()));
+  } else {
+    result.whole = !body.flag_or("timed_out", true) && body.number_or("_shards.failed", -1) == 0;
+    add(*body.at("hits.hits"));
+  }
+  co_return result;
+}
+
+std::size_t World::parts_seen() const {
+  std::size_t count = 0;
+  for (const auto& node : nodes) count += node->seen.size();
+  return count;
+}
+
+}  // namespace kelpdeal::test
--- /dev/null
+++ b/tests/stand_ins.h
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: MIT
+// Small stand-ins for what surrounds the coordinator, on the test's own scheduler and on ephemeral loopback
+// ports: record nodes that speak frames or the OpenSearch-style API, discovery, and clients of both fronts.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kelpdeal/frames.h"
+#include "kelpdeal/gateway.h"
+#include "kelpdeal/http.h"
+#include "kelpdeal/json.h"
+#include "kelpdeal/socket.h"
+
+namespace kelpdeal::test {
+
+enum class Api { platform, opensearch };
+
+// A part as a node saw it.
+struct Seen {
+  std::string id, key, text, from, whole, class_name;
+  int shard = 0;
+  std::int64_t wait_ms = 0;
+  std::size_t call = 0;  // which call it came with
+  TimePoint at;
+};
+
+// What a node does with a part.
+struct Answer {
+  enum class Kind { serve, error, busy, silent, reset };
+  Kind kind = Kind::serve;
+  double score = 1;
+  Duration after{};
+};
+
+class Node {
+ public:
+  Node(Scheduler& scheduler, Api api);
+  std::function<Answer(const Seen&)> behave = [](const Seen&) { return Answer{}; };
+  std::vector<Seen> seen;
+  std::vector<std::string> given_up;  // ids of frame 2; with the OpenSearch-style API, ids of a closed call
+  std::size_t connections = 0;
+  std::string address() const { return listener_.address().text(); }
+  void stop() { listener_.close(); }  // new connections are refused from here on
+  std::size_t seen_of_shard(int shard) const;
+
+ private:
+  using Link = std::shared_ptr<Stream>;
+  Task<void> accept_all();
+  Task<void> serve_frames(Link link);
+  Task<void> serve_http(Link link);
+  Task<void> answer_frame(Link link, Seen part);
+  Task<http::Response> answer_http(const http::Request& request, bool& reset, bool& silent);
+  Scheduler& scheduler_;
+  Api api_;
+  Listener listener_;
+  std::size_t calls_ = 0;
+};
+
+class Discovery {
+ public:
+  explicit Discovery(Scheduler& scheduler);
+  void set(const std::string& uid, const std::string& endpoint, int cell, const std::string& state,
+           std::int64_t boot_ms = 0);
+  bool failing = false;
+  std::vector<TimePoint> called, answered;
+  std::string address() const { return listener_.address().text(); }
+  std::string list(bool whole, std::uint64_t after) const;
+
+ private:
+  struct Target {
+    json::Value entry;
+    std::uint64_t version = 0;
+  };
+  Task<void> accept_all();
+  Task<void> serve(std::shared_ptr<Stream> stream);
+  Scheduler& scheduler_;
+  Listener listener_;
+  std::map<std::string, Target> targets_;
+  std::uint64_t version_ = 1;
+};
+
+// What a client makes of an answer, whichever front gave it.
+struct Result {
+  std::string kind;  // "answered", "refused", "failed"
+  bool whole = false;
+  std::set<std::string> hits;
+  bool operator==(const Result&) const = default;
+};
+
+struct Options {
+  Api front = Api::platform;
+  Api nodes = Api::platform;
+  int node_count = 3;
+  int shards = 6;
+  int open_cap = 0;
+  int watch_wait_ms = 20'000;
+};
+
+// A coordinator with its nodes, in one thread. Shard s is held by the nodes s and s + 1 (mod node_count).
+class World {
+ public:
+  explicit World(Options options);
+  ~World();
+
+  Scheduler scheduler;
+  Options options;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::unique_ptr<Discovery> discovery;
+  std::unique_ptr<Gateway> gateway;
+
+  // The text of GW_CONFIG; with empty agreements the second front has one index a class and slice.
+  std::string config_text() const;
+  void start();
+  // Runs until the task is done; fails the test if that takes too long.
+  void run(Task<void> task, Duration most = std::chrono::seconds(20));
+  Task<http::Response> send(const std::string& address, http::Request request);
+  // `slices`: "0,1,2".
+  Task<Result> ask(const std::string& class_name, std::string slices, Duration budget,
+                   std::string key = "k1");
+  Task<void> pause(Duration span) { return scheduler.sleep_until(Clock::now() + span); }
+  http::Request request(const std::string& class_name, const std::string& slices, Duration budget,
+                        const std::string& key);
+  std::size_t parts_seen() const;
+
+ private:
+  std::uint64_t next_id_ = 0;
+};
+
+std::string header_of(const http::Response& response, const char* name);
+json::Value body_of(const http::Response& response);
+
+}  // namespace kelpdeal::test
