End the scheduler's tasks before what they use goes away

Seen under the address sanitizer: a gateway that ends before its scheduler left suspended tasks that referred to its parts (Gateway::~Gateway, Scheduler::~Scheduler). end_tasks() is called by whoever owns what the tasks use. Test: every test of the world under the sanitizers.

--- a/include/kelpdeal/gateway.h
+++ b/include/kelpdeal/gateway.h
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// A whole coordinator, put together from its parts.
+// A whole coordinator, put together from its parts. It ends the scheduler's tasks when it goes.
 #pragma once
 
 #include <memory>
--- a/include/kelpdeal/scheduler.h
+++ b/include/kelpdeal/scheduler.h
@@ -100,6 +100,8 @@
   // Starts a coroutine that belongs to the scheduler. One that ends by an exception is handed to
   // `on_failure`, which by default ends run() with it.
   void spawn(Task<void> task);
+  // Ends every spawned task where it stands. Whoever owns what the tasks use calls this before it goes.
+  void end_tasks();
   std::function<void(std::exception_ptr)> on_failure;
 
   void post(std::coroutine_handle<> handle) { ready_.push_back(handle); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -107,7 +107,11 @@
   };
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  // Guards against a suspended task that still refers to the parts as they go.
+  parts_->scheduler.end_tasks();
+  parts_->scheduler.on_failure = nullptr;
+}
 
 std::string Gateway::address() const { return parts_->server.address().text(); }
 
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -61,13 +61,15 @@
   if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
-Scheduler::~Scheduler() {
-  ready_.clear();
+Scheduler::~Scheduler() { end_tasks(); }
+
+void Scheduler::end_tasks() {
   while (!roots_.empty()) {
     const auto handle = roots_.front();
     roots_.pop_front();
     handle.destroy();
   }
+  ready_.clear();  // what is left in it belongs to frames that are gone
 }
 
 void Scheduler::spawn(Task<void> task) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -138,7 +138,6 @@
 }
 
 TEST(FrameTransport, AnUnreadableAnswerEndsItsConnectionAndNothingElse) {
-  Scheduler scheduler;
   World world({});
   Listener rogue(world.scheduler, *Address::parse("127.0.0.1:0"), 8);
   const auto serve = [&]() -> Task<void> {
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -254,7 +254,7 @@
   }
 }
 
-World::~World() = default;
+World::~World() { scheduler.end_tasks(); }
 
 std::string World::config_text() const {
   const auto grade = [](const char* name, int aim, int deadline, const char* effect, double worth,
@@ -335,7 +335,7 @@
   ASSERT_TRUE(done) << "the test's steps did not come to an end";
 }
 
-Task<http::Response> World::send(const std::string& address, http::Request request) {
+Task<http::Response> World::send(std::string address, http::Request request) {
   const Address to = *Address::parse(address);
   const std::unique_ptr<Stream> stream =
       co_await connect(scheduler, to, Clock::now() + std::chrono::seconds(2));
@@ -388,7 +388,7 @@
   return request;
 }
 
-Task<Result> World::ask(const std::string& class_name, std::string slices, Duration budget, std::string key) {
+Task<Result> World::ask(std::string class_name, std::string slices, Duration budget, std::string key) {
   http::Request asked = request(class_name, slices, budget, key);
   const std::string address = options.front == Api::platform ? gateway->address() : gateway->search_address();
   const http::Response response = co_await send(address, std::move(asked));
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -121,10 +121,9 @@
   void start(const FrontContract& contract);
   // Runs until the task is done; fails the test if that takes too long.
   void run(Task<void> task, Duration most = std::chrono::seconds(20));
-  Task<http::Response> send(const std::string& address, http::Request request);
+  Task<http::Response> send(std::string address, http::Request request);
   // `slices`: "0,1,2".
-  Task<Result> ask(const std::string& class_name, std::string slices, Duration budget,
-                   std::string key = "k1");
+  Task<Result> ask(std::string class_name, std::string slices, Duration budget, std::string key = "k1");
   Task<void> pause(Duration span) { return scheduler.sleep_until(Clock::now() + span); }
   http::Request request(const std::string& class_name, const std::string& slices, Duration budget,
                         const std::string& key);
