Say when to come back where a query is given up well before its client leaves

Balancer::Impl::end refused with no advice, so its clients asked again at once. Test: a query whose attempts are used up ends at once with advice.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -440,8 +440,11 @@
     const bool harmless = q.cls->effect == Effect::safe ||
                           std::none_of(q.parts.begin(), q.parts.end(),
                                        [](const Part& p) { return p.out() || p.may_have_run(); });
+    // A query given up well before its client leaves is answered at once, with word of when to come back:
+    // once what stands in the queues by now is served. Near the end a next try has its time from the client.
+    const bool early = s_.may_advise_retry && now_ + patience() < q.end_at;
     if (harmless && !q.second)
-      send_end(q, Refuse{q.id, 0});
+      send_end(q, Refuse{q.id, early ? std::min(patience(), s_.max_retry_after_ms) : 0});
     else
       send_end(q, Fail{q.id});
   }
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -27,6 +27,22 @@
   EXPECT_EQ(host.ended(1), "r");
 }
 
+TEST(Rules, AQueryGivenUpEarlyIsAnsweredAtOnceAndSaysWhenToComeBack) {
+  Host host;
+  host.list(0, three());
+  host.warm_up(10);
+  host.ask(host.now + 5, 1, "whole", 1);
+  for (int i = 0; i < 3 && host.ended(1) == "-"; ++i) host.ends(host.now + 20, 2, Outcome::error);
+  EXPECT_EQ(host.ended(1), "r");
+  EXPECT_EQ(host.ended_at(1), host.now);  // not held back to its client's end
+  const Refuse* refuse = nullptr;
+  for (const auto& [at, action] : host.log)
+    if (std::holds_alternative<Refuse>(action)) refuse = &std::get<Refuse>(action);
+  ASSERT_NE(refuse, nullptr);
+  EXPECT_GT(refuse->retry_after_ms, 0);
+  EXPECT_LE(refuse->retry_after_ms, 500);
+}
+
 TEST(Rules, AWithdrawnQueryGetsNoAnswerAndNoSends) {
   Host host;
   host.list(0, three());
