Test that a watch is not repeated while nothing changes

Suspected: the module takes the waiting watch for lost after askEveryMs and asks again every 10 s. Ruled out by this test: the saved list that comes with the start ends its wait (on(ServersListed)), so one call stands until something changes.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -78,6 +78,19 @@
   }());
 }
 
+TEST(Discovery, AWatchIsNotRepeatedWhileNothingChanges) {
+  World world({});
+  world.start();
+  world.run([&]() -> Task<void> {
+    co_await world.pause(2300ms);  // past askEveryMs, after which an instance without a watch has to ask
+    EXPECT_EQ(world.discovery->called.size(), 1u);
+    world.discovery->set("n0", world.nodes[0]->address(), 0, "in_service");
+    co_await world.pause(50ms);
+    EXPECT_EQ(world.discovery->called.size(), 2u);
+    EXPECT_EQ(world.gateway->metrics().value("discovery.answers"), 1u);
+  }());
+}
+
 TEST(Discovery, ServiceGoesOnWhileItFailsAndItIsAskedAgain) {
   World world({});
   world.discovery->failing = true;
