Read contracts from AsyncAPI too, keep one fault from ending the rest, answer pings

The driver's turns, a client's connection and a refused epoll entry each ended more than themselves on an exception (Driver::turns, HttpServer::converse, Stream's constructor). Capacity refusals now have a log line of their own. Tests: mutated texts through every parser, contract fields, HEAD /.

--- a/include/kelpdeal/contract.h
+++ b/include/kelpdeal/contract.h
@@ -35,14 +35,18 @@
 struct FrontContract {
   std::string listen;
   bool opensearch_nodes = false;  // the record nodes are spoken to in this API too
+  // Bounds on what nodes and discovery may send; 0: those of Limits.
+  std::size_t frame_bytes = 0, list_bytes = 0;
   std::vector<IndexContract> indices;
   std::vector<TeamContract> teams;  // none: anybody may ask for anything
 };
 
 // Throws ConfigError with one line that names the field.
 FrontContract load_front_contract(const std::string& path, const cottonbay::Settings& settings);
+// `agreements` are those with teams (of an OpenAPI description), `messages` those with nodes and discovery
+// (of an AsyncAPI description); either may be the front file itself.
 FrontContract parse_front_contract(const json::Value& file, const json::Value& agreements,
-                                   const cottonbay::Settings& settings);
+                                   const json::Value& messages, const cottonbay::Settings& settings);
 
 // Keeps teams to their budgets of rate and of requests at once.
 class Budgets {
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -130,6 +130,7 @@
   if (!cls) co_return failed("class");
   if (limits_.open > 0 && open_ + needs > limits_.open) {
     metrics_.count("queries.refused");
+    metrics_.log("capacity", "as many queries and parts are held as the settings allow; a query is refused");
     co_return refused("capacity", limits_.most_retry_after);
   }
   Held held(open_, needs);
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -178,9 +178,18 @@
     // The first event after a quiet tick is handled at once; those that follow share the next turn.
     if (const TimePoint next = last_turn_ + tick; Clock::now() < next) co_await scheduler_.sleep_until(next);
     co_await scheduler_.yield();
-    take_turn();
+    guarded(&Driver::take_turn);
     co_await scheduler_.yield();  // the lives act on what was chosen
-    flush();
+    guarded(&Driver::flush);
+  }
+}
+
+// Guards against one turn's fault ending all decisions.
+void Driver::guarded(void (Driver::*step)()) {
+  try {
+    (this->*step)();
+  } catch (const std::exception& e) {
+    metrics_.log("fault", e.what());
   }
 }
 
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -81,6 +81,7 @@
   };
   Task<void> turns();
   void tell(cottonbay::Event event);
+  void guarded(void (Driver::*step)());
   void take_turn();
   void flush();
   void end_attempt(AttemptId id, const AttemptResult& result);
--- a/src/config/contract.cpp
+++ b/src/config/contract.cpp
@@ -55,14 +55,17 @@
 }  // namespace
 
 FrontContract parse_front_contract(const json::Value& file, const json::Value& agreements,
-                                   const cottonbay::Settings& settings) {
+                                   const json::Value& messages, const cottonbay::Settings& settings) {
   const Fields f(file, "");
   FrontContract front;
   front.listen = f.needed_text("listen");
-  const std::string nodes = f.text("node_api", "frames");
+  const Fields m(messages, "");
+  const std::string nodes = m.text("node_api", "frames");
   if (nodes != "frames" && nodes != "opensearch")
     Fields::fail("node_api", "is neither frames nor opensearch");
   front.opensearch_nodes = nodes == "opensearch";
+  front.frame_bytes = static_cast<std::size_t>(m.integer("frame_bytes", 0));
+  front.list_bytes = static_cast<std::size_t>(m.integer("list_bytes", 0));
   const auto members = [&](const char* name) -> const json::Object& {
     static const json::Object none;
     const json::Value* value = agreements.find(name);
@@ -83,14 +86,16 @@
 
 FrontContract load_front_contract(const std::string& path, const cottonbay::Settings& settings) {
   const json::Value file = parse_file(path, "front file");
-  const std::string openapi = Fields(file, "").text("openapi", "");
-  if (openapi.empty()) return parse_front_contract(file, file, settings);
-  // The agreements stand in the description of the API, beside the paths that they are about.
-  const std::string folder = path.substr(0, path.rfind('/') + 1);
-  const json::Value description = parse_file(folder + openapi, "openapi");
-  const json::Value* agreements = description.find("x-kelpdeal-contracts");
-  if (!agreements) Fields::fail("openapi", openapi + " has no x-kelpdeal-contracts");
-  return parse_front_contract(file, *agreements, settings);
+  // The agreements stand in the descriptions of the APIs, beside what they are about, or in the file itself.
+  const auto agreements = [&](const char* description) {
+    const std::string name = Fields(file, "").text(description, "");
+    if (name.empty()) return file;
+    const json::Value described = parse_file(path.substr(0, path.rfind('/') + 1) + name, description);
+    const json::Value* found = described.find("x-kelpdeal-contracts");
+    if (!found) Fields::fail(description, name + " has no x-kelpdeal-contracts");
+    return *found;
+  };
+  return parse_front_contract(file, agreements("openapi"), agreements("asyncapi"), settings);
 }
 
 Budgets::Budgets(std::vector<TeamContract> teams) {
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -51,8 +51,12 @@
 }
 
 Task<void> HttpServer::converse(Place place) {
-  Connection& connection = *place;
-  while (co_await exchange(connection)) {
+  try {
+    while (co_await exchange(*place)) {
+    }
+  } catch (const std::exception& e) {
+    // Guards against a connection that stays on the list, and holds up a drain, after its task has failed.
+    metrics_.log("fault", e.what());
   }
   connections_.erase(place);
 }
--- a/src/front/opensearch/opensearch_front.cpp
+++ b/src/front/opensearch/opensearch_front.cpp
@@ -12,6 +12,7 @@
 
 constexpr Route kRoutes[] = {
     {"GET", "/"},
+    {"HEAD", "/"},
     {"GET", "/_search"},
     {"POST", "/_search"},
     {"GET", "/{index}/_search"},
@@ -160,6 +161,11 @@
   if (call.pattern.empty())
     throw ApiError{400, "illegal_argument_exception", "no handler found for this uri and method", {}, {}};
 
+  if (call.http.method == "HEAD") {
+    http::Response alive;  // what client libraries ping with; it has no body
+    alive.status = 200;
+    co_return alive;
+  }
   if (call.pattern == "/")
     co_return answer(
         200, json::Object{{"name", "kelpdeal"},
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,12 @@
   return *address;
 }
 
+Limits agreed(Limits limits, const std::optional<FrontContract>& contract) {
+  if (contract && contract->frame_bytes > 0) limits.frame_bytes = contract->frame_bytes;
+  if (contract && contract->list_bytes > 0) limits.list_bytes = contract->list_bytes;
+  return limits;
+}
+
 // Signals as input of the scheduler.
 class Signals : private Readiness {
  public:
@@ -54,11 +60,11 @@
 struct Gateway::Parts {
   Parts(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract)
       : scheduler(scheduler),
-        limits(config.limits),
+        limits(agreed(config.limits, contract)),
         metrics(config.limits.log_every),
         broker(scheduler, config, metrics),
         transport(make_transport(contract)),
-        discovery(scheduler, needed_address(config.discovery, "discovery"), config.limits, metrics, broker),
+        discovery(scheduler, needed_address(config.discovery, "discovery"), limits, metrics, broker),
         front(broker, config.limits, metrics),
         server(scheduler, needed_address(config.listen, "listen"), config.limits, metrics, front) {
     discovery.start_from(config.known.version);
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -24,6 +24,15 @@
   throw std::system_error(errno, std::generic_category(), what);
 }
 
+// Null if the kernel cannot watch one more descriptor; who asked goes on without it.
+std::unique_ptr<Stream> watched(Scheduler& scheduler, Descriptor descriptor) {
+  try {
+    return std::make_unique<Stream>(scheduler, std::move(descriptor));
+  } catch (const std::system_error&) {
+    return nullptr;
+  }
+}
+
 }  // namespace
 
 std::optional<Address> Address::parse(std::string_view text) {
@@ -131,8 +140,8 @@
   if (!fd) co_return nullptr;
   const int started = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw);
   if (started != 0 && errno != EINPROGRESS) co_return nullptr;
-  auto stream = std::make_unique<Stream>(scheduler, std::move(fd));
-  if (co_await stream->connected(deadline) != Io::ok) co_return nullptr;
+  auto stream = watched(scheduler, std::move(fd));
+  if (!stream || co_await stream->connected(deadline) != Io::ok) co_return nullptr;
   co_return stream;
 }
 
@@ -170,7 +179,11 @@
 Task<std::unique_ptr<Stream>> Listener::accept() {
   while (descriptor_) {
     Descriptor fd(::accept4(descriptor_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (fd) co_return std::make_unique<Stream>(scheduler_, std::move(fd));
+    if (fd) {
+      auto stream = watched(scheduler_, std::move(fd));
+      if (stream) co_return stream;
+      continue;
+    }
     if (errno == EINTR || errno == ECONNABORTED) continue;
     // Out of descriptors: the edge is used up, so look again soon by ourselves.
     const bool none_left = errno != EAGAIN && errno != EWOULDBLOCK;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -87,6 +87,8 @@
     const char *from, *to, *field;
   } cases[] = {
       {"\"listen\":\"127.0.0.1:0\"", "\"listen\":1", "listen"},
+      {"\"listen\"", "\"node_api\":\"soap\",\"listen\"", "node_api"},
+      {"\"listen\"", "\"frame_bytes\":-1,\"listen\"", "frame_bytes"},
       {"\"indices\"", "\"x\"", "indices"},
       {"\"class\":\"area-report\"", "\"class\":\"none\"", "indices.a.class"},
       {"\"slices\":4", "\"slices\":40", "indices.a.slices"},
@@ -95,13 +97,14 @@
       {"\"per_second\":2", "\"per_second\":-1", "teams.t.per_second"},
       {"\"concurrent\":1", "\"concurrent\":0.5", "teams.t.concurrent"},
   };
-  EXPECT_EQ(parse_front_contract(parsed(good), parsed(good), settings()).teams.at(0).concurrent, 1u);
+  EXPECT_EQ(parse_front_contract(parsed(good), parsed(good), parsed(good), settings()).teams.at(0).concurrent,
+            1u);
   for (const auto& c : cases) {
     std::string text = good;
     ASSERT_NE(text.find(c.from), std::string::npos) << c.from;
     text.replace(text.find(c.from), std::string(c.from).size(), c.to);
     try {
-      parse_front_contract(parsed(text), parsed(text), settings());
+      parse_front_contract(parsed(text), parsed(text), parsed(text), settings());
       ADD_FAILURE() << c.to << " was taken";
     } catch (const ConfigError& e) {
       EXPECT_TRUE(std::string(e.what()).starts_with(std::string("field ") + c.field + ":")) << e.what();
@@ -114,6 +117,9 @@
   EXPECT_EQ(contract.listen, "127.0.0.1:9200");
   EXPECT_EQ(contract.indices.size(), 6u);
   EXPECT_EQ(contract.teams.size(), 3u);
+  EXPECT_FALSE(contract.opensearch_nodes);
+  EXPECT_EQ(contract.frame_bytes, Limits().frame_bytes);  // as AsyncAPI states it
+  EXPECT_EQ(contract.list_bytes, Limits().list_bytes);
 }
 
 TEST(Budgets, KeepATeamToItsRateAndNumber) {
--- a/tests/opensearch_test.cpp
+++ b/tests/opensearch_test.cpp
@@ -75,6 +75,17 @@
   }());
 }
 
+TEST_F(OpenSearch, AnswersTheCallsThatClientLibrariesStartWith) {
+  world.start();
+  world.run([&]() -> Task<void> {
+    const http::Response ping = co_await send(make("HEAD", "/"));
+    EXPECT_EQ(ping.status, 200);
+    EXPECT_TRUE(ping.body.empty());
+    const http::Response info = co_await send(make("GET", "/"));
+    EXPECT_FALSE(body_of(info).text_or("version.number", "").empty());
+  }());
+}
+
 TEST_F(OpenSearch, ErrorsNameTypeReasonAndStatus) {
   world.start();
   world.run([&]() -> Task<void> {
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -216,6 +216,52 @@
   }
 }
 
+// Texts that are nearly right, by the same draws every time: whatever comes, no parser may run astray.
+TEST(Parsers, TakeAnyBytesWithoutHarm) {
+  const std::string seeds[] = {
+      R"({"slices":[{"slice":3,"mass":0.5,"micros":9e3},{"slice":9}],"filter":"\u00e9\ud83d\ude00"})",
+      "POST /a?b=%20 HTTP/1.1\r\nContent-Length: 5\r\nA: b\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      frames::encode_call({{"q.1", 1, "d=5,k=z", "text"}}),
+      frames::encode_answer({"q.1", 'S', 7, "-", "value"}),
+  };
+  std::uint32_t draw = 1;
+  const auto next = [&draw](std::size_t below) {
+    draw = draw * 1664525u + 1013904223u;
+    return (draw >> 8) % below;
+  };
+  int good = 0;
+  for (const std::string& seed : seeds)
+    for (int round = 0; round < 2000; ++round) {
+      std::string text = seed;
+      for (std::size_t edits = next(4); edits > 0; --edits) {
+        const std::size_t at = next(text.size());
+        if (next(3) == 0)
+          text.erase(at, 1 + next(4));
+        else
+          text[at] = static_cast<char>(next(256));
+        if (text.empty()) text = "x";
+      }
+      std::string error;
+      const auto value = json::parse(text, error);
+      EXPECT_EQ(value.has_value(), error.empty());
+      if (value) {
+        EXPECT_EQ(json::parse(json::write(*value), error), value);
+      }
+      http::Parser<http::Request> request({64, 4, 64});
+      http::Parser<http::Response> response({64, 4, 64});
+      frames::Reader reader(64);
+      good += feed(request, text, round % 2) == http::State::done;
+      good += feed(response, text, round % 2) == http::State::done;
+      reader.feed(text);
+      while (const auto frame = reader.next()) {
+        const auto call = frames::decode_call(frame->rest);
+        good += call || frames::decode_answer(frame->rest);
+      }
+    }
+  EXPECT_GT(good, 1000);  // the unchanged ones at least, so the draws do reach the parsers' insides
+}
+
 TEST(Frames, CallsComeBackAsWritten) {
   const std::string bytes = frames::encode_call({{"q.1", 1, "d=5", "ab\ncd"}, {"q.2", 2, "d=6,k=z", ""}});
   const auto parts = frames::decode_call(std::string_view(bytes).substr(5));
