Log the queries that end without an answer

One part stood at a record node that hung; it had been given until the client's end, so the suspicion of that node (no answer) did not free it. Ruled out: connects, resets, capacity.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -75,6 +75,16 @@
   return parts;
 }
 
+// A query that ends without an answer, for the log: how far it came and how long its client had left.
+std::string tell(const QueryRequest& request, const Step& step) {
+  const auto in =
+      std::count_if(step.in.begin(), step.in.end(), [](const auto& part) { return part.has_value(); });
+  const auto left = std::chrono::duration_cast<Milliseconds>(request.expires - Clock::now()).count();
+  return request.class_name + (request.repeat ? " (repeat)" : "") + ", step " + std::to_string(step.number) +
+         ", " + std::to_string(in) + " of " + std::to_string(step.parts.size()) + " parts in, " +
+         std::to_string(left) + " ms left";
+}
+
 Reply refused(std::string why, Duration retry_after) {
   Reply reply;
   reply.kind = Reply::Kind::refused;
@@ -196,10 +206,12 @@
 
     } else if (const auto* refuse = std::get_if<RefuseChosen>(&*choice)) {
       metrics_.count("queries.refused");
+      metrics_.log("unanswered", "refused: " + tell(request, step));
       co_return refused("overload", refuse->retry_after);
 
     } else if (std::get_if<FailChosen>(&*choice)) {
       metrics_.count("queries.failed");
+      metrics_.log("unanswered", "failed: " + tell(request, step));
       co_return failed("deadline");
 
     } else {  // the client has left
