--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -33,6 +33,7 @@
 constexpr double kLostDeviations = 4;       // later than the mean by so many: lost, if the query ends first
 constexpr double kReaped = 0.3;             // share of first parts on idle connections lost, of one query
 constexpr double kReapSpan = 20;            // of the least aim: idle connections are mistrusted for so long
+constexpr double kTrialShare = 1.0 / 2;     // of the time to the aim: the longest wait for a suspect's trial
 constexpr double kErrorDebt = 4;            // answers in a row that one error costs a server
 constexpr double kMostDebt = 12;            // ... and the most it can owe, so that it can come back
 constexpr double kFirstBackoff = 1.0 / 4;   // of the least aim: first pause before a suspect is tried again
@@ -495,7 +496,10 @@
     Server* server = pick(q, p);
     if (!server) return;
     p.parked = false;
-    const double until = give_up_at(q, p);
+    double until = give_up_at(q, p);
+    // Danger: a trial at a server that still hangs costs its query, if it leaves no time for another try.
+    if (server->suspect() && q.cls->effect == Effect::safe && s_.max_attempts > 1 && p.attempts.empty())
+      until = std::min(until, now_ + std::max(kTrialShare * (q.aim_at() - now_), kStretch * fleet_mean_));
     if (!p.attempts.empty() && s_.extra_limited) extras_.push_back(now_);
     const bool opens = server->open_reply != reply_ || server->open_parts >= s_.parts_per_call;
     if (opens) {
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -344,3 +344,22 @@
   }
   EXPECT_GT(taken, 20);
 }
+
+TEST(Health, ATrialAtASuspectLeavesTimeForAnotherTry) {
+  Host host;
+  host.list(0, {Host::server(11, 0), Host::server(12, 0)});
+  for (int i = 0; i < 12; ++i) host.warm_up(1, i % 2 ? 100 : 900);  // so spread that patience passes the aim
+  host.ask(host.now + 5, 1, "whole", 1);
+  const ServerId suspect = host.last_server(2);
+  host.ends(host.now + 20, 2, Outcome::connect_failed);
+  host.ends(host.now + 100, 2, Outcome::ok);
+  host.feed(host.now + 600);
+  host.ask(host.now + 5, 20, "whole", 1);
+  ASSERT_EQ(host.last_server(21), suspect);
+  const double leash = host.sent.back().send.until_ms - host.now;
+  EXPECT_LE(leash, 1500);  // of an aim of 2000, not the 6000 that the client waits
+  host.ends(host.now + leash, 21, Outcome::timeout);
+  EXPECT_NE(host.last_server(21), suspect);
+  host.ends(host.now + 100, 21, Outcome::ok);
+  EXPECT_EQ(host.ended(20), "w");
+}
