Reload on SIGHUP: discovery moves to the new file's address, all else stays

Checked: 129 is 128 + SIGHUP, whose default action ends a process; the log shows nothing before it. At fault: src/gateway/gateway.cpp, Signals masked SIGTERM, SIGINT and SIGUSR1 only; src/discovery held its address const. Change: Gateway::reload reads GW_CONFIG again and moves discovery (the whole list, then the watch; old calls are cancelled). The file's discovery counts before the environment's, which cannot change under a running program. A bad file is logged with its field and counted. Test: TheProgram.MovesToTheDiscoveryOfANewConfigurationAndKeepsWhatIsOpen.

--- a/include/kelpdeal/discovery.h
+++ b/include/kelpdeal/discovery.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "kelpdeal/broker.h"
 #include "kelpdeal/http.h"
@@ -21,6 +22,9 @@
   void start_from(std::uint64_t version) { version_ = version; }
   void subscribe() override;
   void fetch() override;
+  // Goes on at another address: the whole list first, then a watch from it.
+  void move_to(Address address);
+  Address address() const { return address_; }
 
  private:
   Task<void> watch(std::uint64_t turn);
@@ -29,11 +33,13 @@
   Task<std::optional<NodeList>> get(std::string target, TimePoint deadline);
 
   Scheduler& scheduler_;
-  const Address address_;
+  Address address_;
   const Limits limits_;
   Metrics& metrics_;
   DirectorySink& sink_;
-  std::shared_ptr<Stream> kept_;  // a connection between two calls
+  std::shared_ptr<Stream> kept_;              // a connection between two calls
+  std::vector<std::weak_ptr<Stream>> calls_;  // connections with a call on them
+  bool anew_ = false;                         // moved, and no list of the new address is in yet
   std::uint64_t version_ = 0;
   std::uint64_t turn_ = 0;  // the watch that counts; older ones end
 };
--- a/include/kelpdeal/gateway.h
+++ b/include/kelpdeal/gateway.h
@@ -2,6 +2,7 @@
 // A whole coordinator, put together from its parts. It ends the scheduler's tasks when it goes.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 
   // Begins a planned stop: the scheduler stops once all that was taken is answered.
   void drain();
+  // Takes over what a new configuration says of discovery; connections, decisions and open queries stay. One
+  // that cannot be read is logged, and the old one stays.
+  void reload(const std::function<Config()>& read);
   const Metrics& metrics() const;
   // Where it listens; the second is empty without the OpenSearch-style front.
   std::string address() const;
@@ -32,7 +36,8 @@
 };
 
 // The whole program: reads the environment, serves until SIGTERM or SIGINT, prints the counters, and returns
-// the exit status. SIGUSR1 prints the counters at any time. `--front FILE` adds the OpenSearch-style front.
+// the exit status. SIGHUP reads GW_CONFIG again, SIGUSR1 prints the counters at any time. `--front FILE` adds
+// the OpenSearch-style front.
 int run_program(int argc, char** argv);
 
 }  // namespace kelpdeal
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -168,7 +168,8 @@
   };
   prefer("GW_NAME", config.name);
   prefer("GW_LISTEN", config.listen);
-  prefer("GW_DISCOVERY", config.discovery);
+  // The file may have been replaced since the environment was made, as at a reload: here it counts first.
+  if (config.discovery.empty()) prefer("GW_DISCOVERY", config.discovery);
   return config;
 }
 
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -10,12 +10,27 @@
 void DiscoveryClient::subscribe() { scheduler_.spawn(watch(++turn_)); }
 void DiscoveryClient::fetch() { scheduler_.spawn(fetch_once()); }
 
+void DiscoveryClient::move_to(Address address) {
+  address_ = address;
+  anew_ = true;
+  kept_ = nullptr;
+  // Guards against an answer of the old address that arrives after one of the new.
+  for (const std::weak_ptr<Stream>& call : std::exchange(calls_, {}))
+    if (const auto stream = call.lock()) stream->cancel();
+  subscribe();
+}
+
 Task<void> DiscoveryClient::watch(std::uint64_t turn) {
   while (turn == turn_) {
     // The next call leaves as soon as an answer is in: a watch goes on only if it comes within 200 ms.
     const auto wait = std::chrono::duration_cast<Milliseconds>(limits_.watch_wait).count();
-    std::string target = "/api/targets?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait);
-    const TimePoint deadline = Clock::now() + limits_.watch_wait + limits_.watch_slack;
+    std::string target = "/api/targets";
+    TimePoint deadline = Clock::now() + limits_.watch_slack;
+    // Guards against versions of one address told to another: after a move the whole list comes first.
+    if (!anew_) {
+      target += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(wait);
+      deadline += limits_.watch_wait;
+    }
     const std::optional<NodeList> list = co_await get(std::move(target), deadline);
     if (turn != turn_) co_return;
     if (!list) {
@@ -24,6 +39,7 @@
       co_return;
     }
     version_ = list->version;
+    anew_ = false;
     metrics_.count("discovery.answers");
     sink_.listed(*list);
   }
@@ -31,7 +47,9 @@
 
 Task<void> DiscoveryClient::fetch_once() {
   std::string target = "/api/targets";
+  const Address asked = address_;
   const std::optional<NodeList> list = co_await get(std::move(target), Clock::now() + limits_.watch_slack);
+  if (asked.text() != address_.text()) co_return;  // the list of the new address is on its way
   if (!list) {
     metrics_.log("discovery", "a call for the whole list failed");
     sink_.list_failed();
@@ -50,11 +68,15 @@
   request.headers.fields = {{"Host", address_.text()}};
   const std::string bytes = http::write(request);
 
+  const Address to = address_;
   std::shared_ptr<Stream> stream = std::exchange(kept_, nullptr);
   // Guards against a kept connection that discovery has closed meanwhile.
   if (stream && stream->has_input()) stream = nullptr;
-  if (!stream) stream = co_await connect(scheduler_, address_, Clock::now() + limits_.connect_timeout);
-  if (!stream || (co_await stream->write_all(bytes, deadline)).io != Io::ok) co_return std::nullopt;
+  if (!stream) stream = co_await connect(scheduler_, to, Clock::now() + limits_.connect_timeout);
+  if (!stream || to.text() != address_.text()) co_return std::nullopt;
+  std::erase_if(calls_, [](const std::weak_ptr<Stream>& call) { return call.expired(); });
+  calls_.push_back(stream);
+  if ((co_await stream->write_all(bytes, deadline)).io != Io::ok) co_return std::nullopt;
 
   http::Bounds bounds = limits_.http;
   bounds.body = limits_.list_bytes;
@@ -77,7 +99,7 @@
     co_return std::nullopt;
   }
   const http::Response response = parser.take();
-  if (response.keeps_alive()) kept_ = stream;
+  if (response.keeps_alive() && to.text() == address_.text()) kept_ = stream;
   if (response.status != 200) co_return std::nullopt;
   std::string error;
   const auto value = json::parse(response.body, error, limits_.json);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -37,7 +37,7 @@
       : scheduler_(scheduler), action_(std::move(action)) {
     sigset_t set;
     sigemptyset(&set);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     descriptor_ = Descriptor(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     scheduler_.watch(descriptor_.get(), EPOLLIN, *this);
@@ -135,6 +135,22 @@
   parts_->look_whether_drained(Clock::now() + parts_->limits.drain_most);
 }
 
+void Gateway::reload(const std::function<Config()>& read) {
+  try {
+    const Config config = read();
+    const Address address = needed_address(config.discovery, "discovery");
+    const bool moves = address.text() != parts_->discovery.address().text();
+    parts_->metrics.count("reloads");
+    parts_->metrics.log("reload",
+                        moves ? "discovery moves to " + address.text() : "discovery stays where it is");
+    if (moves) parts_->discovery.move_to(address);
+  } catch (const std::exception& e) {
+    // Guards against a bad file that ends a coordinator in service.
+    parts_->metrics.count("reloads_failed");
+    parts_->metrics.log("config", std::string("the old configuration stays: ") + e.what());
+  }
+}
+
 int run_program(int argc, char** argv) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
@@ -143,10 +159,13 @@
       front_file = argv[2];
     else if (argc != 1)
       throw ConfigError("usage: kelpdeal [--front FILE]");
-    const Config config = load_config([](const char* name) {
-      const char* value = std::getenv(name);
-      return std::string(value ? value : "");
-    });
+    const auto read_config = [] {
+      return load_config([](const char* name) {
+        const char* value = std::getenv(name);
+        return std::string(value ? value : "");
+      });
+    };
+    const Config config = read_config();
     std::optional<FrontContract> contract;
     if (!front_file.empty()) contract = load_front_contract(front_file, config.settings);
     const std::string name = config.name;
@@ -155,6 +174,8 @@
     const Signals signals(*scheduler, [&](int signal) {
       if (signal == SIGUSR1)
         std::fprintf(stderr, "%s", gateway->metrics().text().c_str());
+      else if (signal == SIGHUP)
+        gateway->reload(read_config);
       else
         gateway->drain();
     });
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -73,6 +73,7 @@
     return all;
   }
   void signal(int number) { ::kill(pid_, number); }
+  void replace_config(const std::string& config) { std::ofstream(path_) << config; }
   bool running() {
     if (pid_ <= 0) return false;
     if (::waitpid(pid_, &status_, WNOHANG) == 0) return true;
@@ -149,6 +150,54 @@
   EXPECT_NE(log.find("queries.answered 2\n"), std::string::npos) << log;
 }
 
+TEST(TheProgram, MovesToTheDiscoveryOfANewConfigurationAndKeepsWhatIsOpen) {
+  World world({});
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 200ms}; };
+  Program program(world, world.config_text(), "127.0.0.1:0");
+  const std::string address = program.address();
+  Discovery next(world.scheduler);
+  for (int i = 0; i < 3; ++i)
+    next.set("n" + std::to_string(i), world.nodes[i]->address(), i, i == 1 ? "terminating" : "in_service");
+  std::string moved = world.config_text();
+  moved.replace(moved.find(world.discovery->address()), world.discovery->address().size(), next.address());
+  world.run([&]() -> Task<void> {
+    std::optional<http::Response> open;
+    const auto ask = [&]() -> Task<void> {
+      open = co_await world.send(address, world.request("equipment-search", "0,2", 1s, ""));
+    };
+    world.scheduler.spawn(ask());
+    while (world.parts_seen() < 2) co_await world.pause(2ms);
+    program.replace_config(moved);
+    program.signal(SIGHUP);
+    const TimePoint until = Clock::now() + 5s;
+    while (next.asked.size() < 2 && Clock::now() < until) co_await world.pause(2ms);
+    EXPECT_EQ(next.asked.size(), 2u);
+    if (next.asked.size() < 2) co_return;
+    EXPECT_EQ(next.asked[0], "/api/targets");
+    EXPECT_TRUE(next.asked[1].starts_with("/api/targets?index=")) << next.asked[1];
+    EXPECT_LT(next.called[1] - next.answered[0], 200ms);
+    while (!open) co_await world.pause(2ms);
+    EXPECT_EQ(open->status, 200);
+    const std::size_t before = world.nodes[1]->seen.size();
+    const http::Response after =
+        co_await world.send(address, world.request("equipment-search", "0,1,2", 1s, ""));
+    EXPECT_EQ(after.status, 200);
+    EXPECT_EQ(world.nodes[1]->seen.size(), before);  // it drains, as only the new address says
+
+    program.replace_config("{\"discovery\":7}");
+    program.signal(SIGHUP);
+    co_await world.pause(50ms);
+    const http::Response counters = co_await world.send(address, get("/-/counters"));
+    EXPECT_NE(counters.body.find("reloads_failed 1\n"), std::string::npos) << counters.body;
+  }());
+  program.signal(SIGTERM);
+  const std::string log = program.rest();
+  EXPECT_NE(log.find("kelpdeal reload: discovery moves to " + next.address()), std::string::npos) << log;
+  EXPECT_NE(log.find("kelpdeal config: the old configuration stays: field discovery"), std::string::npos)
+      << log;
+}
+
 TEST(TheProgram, StartsAgainFromNothingAfterAKill) {
   World world({});
   std::string address = "127.0.0.1:0";
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -230,6 +230,7 @@
   while (co_await next_request(*stream, parser)) {
     const http::Request request = parser.take();
     called.push_back(Clock::now());
+    asked.push_back(request.target);
     const auto index = request.parameter("index");
     const auto wait = request.parameter("wait");
     const std::uint64_t after = index ? std::stoull(*index) : 0;
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -70,6 +70,7 @@
            std::int64_t boot_ms = 0);
   bool failing = false;
   std::vector<TimePoint> called, answered;
+  std::vector<std::string> asked;  // the targets of the calls
   std::string address() const { return listener_.address().text(); }
   std::string list(bool whole, std::uint64_t after) const;
 
