Close bad and silent clients within 3 s, end spoilt answers at once, forget nodes that left

From the code: client_read 10 s and client_idle 5 min stood against 3 s owed; the accept loop paused at the cap with none to close; a frame that never ended kept its attempts until their time-out (frame_transport.cpp, run); an answer under an unknown id counted as too late and its connection went on; one with a report of several words was thrown away with its connection (frames.cpp, words<4>); nothing checked masses, or an id in use; node_ids_, nodes_ grew with every node. Checked: spoilt answers are told apart by a table of seven through both node APIs, three good ones with more behind them; tests fail without the change. Ruled out: memory (1 MB of 48). Change: one shared read buffer, states of a client connection and what is shed first, a bound on the time of a frame, ids a connection is done with, 409 for an id in use, a pause before the next request after a malformed one (its answer is not held back), nodes gone from the list are forgotten after 30 s.

--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -9,7 +9,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "cottonbay/balancer.h"
@@ -60,7 +62,7 @@
 };
 
 struct Reply {
-  enum class Kind { answered, refused, failed };
+  enum class Kind { answered, refused, failed, rejected };  // rejected: the request itself is at fault
   struct Item {
     int shard = 0;
     double score = 0;
@@ -85,6 +87,9 @@
   virtual void give_up(AttemptId attempt, Why why) = 0;
   virtual void probe(NodeId node) = 0;
   virtual void close_idle(NodeId node) = 0;
+  // The node is gone from the list for good: nothing new goes to it, and nothing of it is kept once what is
+  // out has ended.
+  virtual void left(NodeId node) = 0;
 };
 
 class AttemptSink {
@@ -125,6 +130,19 @@
 
 class Driver;
 
+// The ids of queries that are open or whose client still waits: a new query has a new one.
+class UsedIds {
+ public:
+  explicit UsedIds(std::size_t most) : most_(most) {}
+  // False if it is in use.
+  bool claim(const std::string& id, TimePoint until, TimePoint now);
+
+ private:
+  std::size_t most_;
+  std::unordered_set<std::string> ids_;
+  std::set<std::pair<TimePoint, std::string>> ends_;
+};
+
 class Broker : public AttemptSink, public DirectorySink {
  public:
   // Throws ConfigError if the module does not take the settings.
@@ -152,6 +170,7 @@
   const Limits limits_;
   Metrics& metrics_;
   std::unique_ptr<Driver> driver_;
+  UsedIds used_;
   std::size_t open_ = 0;  // queries and parts held
 };
 
--- a/include/kelpdeal/frame_transport.h
+++ b/include/kelpdeal/frame_transport.h
@@ -25,6 +25,7 @@
   void give_up(AttemptId attempt, Why why) override;
   void probe(NodeId node) override;
   void close_idle(NodeId node) override;
+  void left(NodeId node) override;
 
   std::size_t connections() const { return connections_; }
 
@@ -34,10 +35,12 @@
   struct Node {
     std::optional<Address> address;
     std::vector<LinkPtr> links;
+    bool left = false;  // it goes from here with its last connection
   };
   Task<void> run(LinkPtr link);
   Task<void> write(LinkPtr link);
   void read_frame(Link& link, const frames::Frame& frame);
+  void spoilt(Link& link, const std::string& what);
   void end(const LinkPtr& link);
   void finish(Link& link, AttemptId attempt, AttemptResult result);
   LinkPtr pick(NodeId node, std::size_t parts);
@@ -50,6 +53,7 @@
   std::unordered_map<NodeId, Node> nodes_;
   std::unordered_map<AttemptId, std::weak_ptr<Link>> where_;
   std::size_t connections_ = 0;
+  std::vector<char> chunk_;  // what is read goes through here at once; no connection keeps one
 };
 
 // The id and the list that a part's line in a frame carries.
--- a/include/kelpdeal/frames.h
+++ b/include/kelpdeal/frames.h
@@ -50,8 +50,11 @@
   void feed(std::string_view bytes) { buffer_ += bytes; }
   // The next whole frame, if there is one.
   std::optional<Frame> next();
-  // True once a length was 0 or over the bound: nothing more can be read.
+  // True once nothing more can be read: a length is 0 or over the bound, a letter is unknown, an answer's
+  // line has no end.
   bool bad() const { return bad_; }
+  // True if a frame has begun and is not whole.
+  bool midway() const { return !buffer_.empty(); }
 
  private:
   std::size_t most_;
--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -39,15 +39,22 @@
         : stream(std::move(stream)), parser(bounds) {}
     std::unique_ptr<Stream> stream;
     http::Parser<http::Request> parser;
-    TimePoint since = Clock::now();  // of the present idle time
-    bool idle = true, fresh = true, closing = false;
+    TimePoint connected = Clock::now();
+    TimePoint since = connected;  // of the present state
+    enum class State { silent, idle, reading, serving, lingering } state = State::silent;
+    bool closing = false, shed = false;
+    void turn(State next) {
+      state = next;
+      since = Clock::now();
+    }
+    bool between() const { return state == State::silent || state == State::idle; }
   };
   using Place = std::list<Connection>::iterator;
   Task<void> accept_all();
   Task<void> converse(Place place);
   Task<bool> exchange(Connection& connection);
   Task<void> answer(Connection& connection, http::Response response);
-  void close_oldest_idle();
+  bool shed_one();
 
   Scheduler& scheduler_;
   const Limits limits_;
@@ -55,6 +62,7 @@
   HttpHandler& handler_;
   Listener listener_;
   std::list<Connection> connections_;
+  std::vector<char> chunk_;  // what is read goes through here at once; no connection keeps one
   Timer drain_timer_;
   bool draining_ = false, accepting_ = true;
 };
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -19,6 +19,8 @@
   std::size_t frame_bytes = 256 * 1024;  // of one frame from a record node
   std::size_t parts_per_query = 1000;
   std::size_t read_chunk = 16 * 1024;
+  std::size_t used_ids = 4096;  // of queries whose client may still wait
+  double mass_slack = 0.0001;   // the masses of a query add up to 1 but for so much (the rule on answers)
 
   // Descriptors. What is left of the platform's figure goes to discovery, the listeners and epoll.
   std::size_t client_connections = 512;
@@ -31,12 +33,24 @@
   Duration connect_timeout = Milliseconds(250);
   Duration node_idle = Milliseconds(25'000);  // we close before the node does
   Duration probe_timeout = Milliseconds(250);
+  Duration frame_time =
+      Milliseconds(250);  // settings: limits.dialTimeoutMs; from a frame's first byte to its last
+  Duration node_memory = std::chrono::seconds(30);  // one that left the list is forgotten after so long
+  std::size_t past_ids =
+      8;  // parts that a connection is done with are remembered, so many times what it carries
 
   // Clients.
   std::size_t open = 0;                      // queries and parts held; 0: no bound
   Duration answer_margin = Milliseconds(3);  // from our clock to the client's: the answer's way back
-  Duration client_idle = std::chrono::minutes(5);
-  Duration client_read = Milliseconds(10'000);  // from a request's first byte to its last
+  // A bad or silent client is owed an error or a close within 3 s of connecting (6 s for a huge body): what
+  // is given to a first request, and to the linger after an error, stays under that.
+  Duration client_read = Milliseconds(2'000);   // from a request's first byte to its last
+  Duration client_first = Milliseconds(2'000);  // from connecting to a first request's last byte
+  Duration client_idle = Milliseconds(10'000);  // between requests
+  Duration client_fresh = Milliseconds(50);     // so long a newcomer is spared when connections are short
+  Duration client_pause = Milliseconds(100);    // after a malformed request, before the next is read
+  Duration client_linger = Milliseconds(500);   // after an error, for what is still coming
+  std::size_t linger_bytes = 256 * 1024;        // ... and so much of it at the most
   Duration client_write = Milliseconds(5'000);
   Duration longest_budget = std::chrono::minutes(5);
   Duration most_retry_after = Milliseconds(2'000);
--- a/include/kelpdeal/opensearch_transport.h
+++ b/include/kelpdeal/opensearch_transport.h
@@ -26,6 +26,7 @@
   void give_up(AttemptId attempt, Why why) override;
   void probe(NodeId node) override;
   void close_idle(NodeId node) override;
+  void left(NodeId node) override;
 
  private:
   struct Call;
@@ -44,7 +45,8 @@
   Task<std::optional<http::Response>> read(Stream& stream, TimePoint deadline);
   void start(NodeId node, std::vector<Attempt> parts, bool write);
   void finish(Call& call, Outcome outcome);
-  void finish(Call& call, const http::Response& response);
+  bool finish(Call& call, const http::Response& response);
+  void spoilt(const std::string& what);
   void finish(AttemptId attempt, AttemptResult result);
   void keep(NodeId node, std::unique_ptr<Stream> stream);
 
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -53,6 +53,8 @@
   void finish_writing();
   // Ends whatever waits here, now and later.
   void cancel();
+  // The address at the other side.
+  Address peer() const;
   // True if bytes or an end are there to be read.
   bool has_input() const;
 
--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -49,7 +49,7 @@
 constexpr double kPeakSpan = 10;      // of the least aim: how long that best rate is remembered
 constexpr double kSweepShare = 1.0 / 40;  // of the least aim: how often what waits is looked at
 constexpr double kRenewShare = 1.0 / 20;  // of ask_within: first wait before a failed list call is repeated
-constexpr double kWeightSlack = 1e-6;     // weights add up to 1 except for rounding
+constexpr double kWeightSlack = 1e-4;     // weights add up to 1 except for rounding
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
 double normal_cdf(double z) { return 0.5 * std::erfc(-z / std::sqrt(2.0)); }
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -101,12 +101,23 @@
 
 }  // namespace
 
+bool UsedIds::claim(const std::string& id, TimePoint until, TimePoint now) {
+  while (!ends_.empty() && (ends_.begin()->first <= now || ends_.size() >= most_)) {
+    ids_.erase(ends_.begin()->second);
+    ends_.erase(ends_.begin());
+  }
+  if (!ids_.insert(id).second) return false;
+  ends_.emplace(until, id);
+  return true;
+}
+
 Broker::Broker(Scheduler& scheduler, const Config& config, Metrics& metrics)
     : scheduler_(scheduler),
       settings_(config.settings),
       limits_(config.limits),
       metrics_(metrics),
-      driver_(std::make_unique<Driver>(scheduler, settings_, config.seed, metrics)) {}
+      driver_(std::make_unique<Driver>(scheduler, settings_, limits_, config.seed, metrics)),
+      used_(limits_.used_ids) {}
 
 Broker::~Broker() = default;
 
@@ -143,6 +154,15 @@
     metrics_.log("capacity", "as many queries and parts are held as the settings allow; a query is refused");
     co_return refused("capacity", limits_.most_retry_after);
   }
+  // Guards against a client that takes another's id: answers of nodes are told apart by it.
+  if (!used_.claim(request.id, request.expires, Clock::now())) {
+    metrics_.count("queries.rejected");
+    metrics_.log("request", "the id of another request that is open");
+    Reply rejected;
+    rejected.kind = Reply::Kind::rejected;
+    rejected.why = "id in use";
+    co_return rejected;
+  }
   Held held(open_, needs);
 
   Reply reply;
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -34,10 +34,11 @@
 
 }  // namespace
 
-Driver::Driver(Scheduler& scheduler, const cottonbay::Settings& settings, std::uint64_t seed,
-               Metrics& metrics)
+Driver::Driver(Scheduler& scheduler, const cottonbay::Settings& settings, const Limits& limits,
+               std::uint64_t seed, Metrics& metrics)
     : scheduler_(scheduler),
       settings_(settings),
+      limits_(limits),
       metrics_(metrics),
       started_(Clock::now()),
       started_wall_(std::chrono::system_clock::now()),
@@ -126,8 +127,18 @@
   cottonbay::ServersListed e;
   e.kind = kind;
   e.version = list.version;
+  const TimePoint now = Clock::now();
+  const auto unlist = [now](NodeRecord& record) { record.left = std::min(record.left, now); };
+  if (list.complete)
+    for (auto& [uid, record] : nodes_) unlist(record);
   for (const NodeEntry& node : list.nodes) {
-    const NodeId id = node_ids_.try_emplace(node.uid, node_ids_.size() + 1).first->second;
+    NodeRecord& record = nodes_[node.uid];
+    if (record.id == 0) record.id = ++next_node_;
+    const NodeId id = record.id;
+    if (node.state == cottonbay::ServerState::removed)
+      unlist(record);
+    else
+      record.left = kNever;
     cottonbay::ServerEntry entry;
     entry.id = id;
     entry.started_ms = to_ms(node.started);
@@ -139,6 +150,13 @@
     e.servers.push_back(std::move(entry));
     if (transport_) transport_->listed(id, node);
   }
+  // Guards against a coordinator that grows with every node there ever was. One that left is remembered for a
+  // while, as a list that runs behind may still name it.
+  std::erase_if(nodes_, [&](const auto& entry) {
+    const bool forgotten = now - entry.second.left >= limits_.node_memory;
+    if (forgotten && transport_) transport_->left(entry.second.id);
+    return forgotten;
+  });
   tell(std::move(e));
 }
 
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -40,7 +40,8 @@
 
 class Driver {
  public:
-  Driver(Scheduler& scheduler, const cottonbay::Settings& settings, std::uint64_t seed, Metrics& metrics);
+  Driver(Scheduler& scheduler, const cottonbay::Settings& settings, const Limits& limits, std::uint64_t seed,
+         Metrics& metrics);
 
   void start(NodeTransport& transport, Directory& directory, const NodeList& known);
 
@@ -106,6 +107,7 @@
 
   Scheduler& scheduler_;
   const cottonbay::Settings& settings_;
+  const Limits& limits_;
   Metrics& metrics_;
   std::unique_ptr<cottonbay::Balancer> balancer_;
   NodeTransport* transport_ = nullptr;
@@ -116,14 +118,19 @@
   TimePoint now_, last_turn_;
   Parker pending_;
   std::vector<cottonbay::Event> events_;
-  std::unordered_map<std::string, NodeId> node_ids_;
+  struct NodeRecord {
+    NodeId id = 0;
+    TimePoint left = kNever;  // the list
+  };
+  std::unordered_map<std::string, NodeRecord> nodes_;  // by uid
   std::unordered_map<RequestId, QueryRecord> queries_;
   std::vector<RequestId> leaving_;  // their lives are over; kept until the module has had a turn
   std::unordered_map<RequestId, PartRecord> parts_;
   std::unordered_map<AttemptId, AttemptRecord> attempts_;
   std::vector<std::pair<NodeId, std::vector<Attempt>>> outbox_;  // by node, in the order first sent to
   std::unordered_map<std::uint64_t, Timer> timers_;
-  std::uint64_t next_id_ = 0, next_number_ = 0, next_attempt_ = 0, next_timer_ = 0;
+  std::uint64_t next_id_ = 0, next_attempt_ = 0, next_timer_ = 0;
+  NodeId next_node_ = 0;
 };
 
 }  // namespace kelpdeal
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -139,6 +139,7 @@
   limits.parts_per_call = static_cast<std::size_t>(config.settings.parts_per_call);
   limits.parts_per_connection = static_cast<std::size_t>(s.integer("limits.multiplex", 1, 1));
   limits.connect_timeout = to_duration(FractionalMs(config.settings.connect_timeout_ms));
+  limits.frame_time = limits.connect_timeout;
   limits.most_retry_after = to_duration(FractionalMs(config.settings.max_retry_after_ms));
   const double idle = s.at_least("limits.connIdleMs", 30'000, 1);
   // Guards against writing on a connection that the node is closing: ours closes well before.
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -9,31 +9,50 @@
       limits_(limits),
       metrics_(metrics),
       handler_(handler),
-      listener_(scheduler, listen, limits.backlog) {
+      listener_(scheduler, listen, limits.backlog),
+      chunk_(limits.read_chunk) {
   scheduler_.spawn(accept_all());
 }
 
 Task<void> HttpServer::accept_all() {
   while (auto stream = co_await listener_.accept()) {
     metrics_.count("clients.connections");
-    if (connections_.size() >= limits_.client_connections) close_oldest_idle();
     connections_.emplace_back(std::move(stream), limits_.http);
     scheduler_.spawn(converse(std::prev(connections_.end())));
-    // Guards against more descriptors than we may hold: newcomers wait in the backlog.
-    while (connections_.size() >= limits_.client_connections + 8)
-      co_await scheduler_.sleep_until(Clock::now() + Milliseconds(5));
+    // Guards against more descriptors than we may hold: newcomers wait in the backlog until one is free.
+    while (connections_.size() >= limits_.client_connections) {
+      if (shed_one()) co_await scheduler_.yield();
+      if (connections_.size() >= limits_.client_connections)
+        co_await scheduler_.sleep_until(Clock::now() + Milliseconds(1));
+    }
   }
   accepting_ = false;
 }
 
-void HttpServer::close_oldest_idle() {
-  Connection* oldest = nullptr;
-  for (Connection& connection : connections_)
-    if (connection.idle && !connection.stream->has_input() && (!oldest || connection.since < oldest->since))
-      oldest = &connection;
-  if (oldest) oldest->stream->cancel();
-  metrics_.log("descriptors", oldest ? "many clients: the longest idle connection is closed"
-                                     : "many clients, and no connection is idle");
+// Closes the connection that is worth least, if one may go: what has its answer, newcomers that say nothing,
+// requests that come to no end, and last what is idle between two requests. True if one is on its way out.
+bool HttpServer::shed_one() {
+  using State = Connection::State;
+  const TimePoint now = Clock::now();
+  const auto worth = [&](const Connection& c) {
+    if (c.state == State::lingering) return 0;
+    if (c.state == State::silent && now - c.connected >= limits_.client_fresh) return 1;
+    if (c.state == State::reading && now - c.since >= limits_.client_read / 4) return 2;
+    return c.state == State::idle ? 3 : 4;
+  };
+  Connection* least = nullptr;
+  for (Connection& c : connections_) {
+    if (c.shed) return true;  // its end is under way
+    if (worth(c) == 4 || (c.between() && c.stream->has_input())) continue;
+    if (!least || std::pair(worth(c), c.since) < std::pair(worth(*least), least->since)) least = &c;
+  }
+  metrics_.log("descriptors", least ? "many clients: the connection of least worth is closed"
+                                    : "many clients, and none that could be closed");
+  if (!least) return false;
+  metrics_.count("clients.shed");
+  least->shed = true;
+  least->stream->cancel();
+  return true;
 }
 
 void HttpServer::drain() {
@@ -42,11 +61,12 @@
   // Clients use the connections they have for as long as these stay open, and new ones keep coming for a
   // while. What is idle closes at once unless it is new or a request is already in.
   for (Connection& connection : connections_)
-    if (connection.idle && !connection.fresh && !connection.stream->has_input()) connection.stream->cancel();
+    if (connection.state == Connection::State::idle && !connection.stream->has_input())
+      connection.stream->cancel();
   drain_timer_ = scheduler_.in(limits_.drain_accept, [this] {
     listener_.close();
     for (Connection& connection : connections_)
-      if (connection.idle && !connection.stream->has_input()) connection.stream->cancel();
+      if (connection.between() && !connection.stream->has_input()) connection.stream->cancel();
   });
 }
 
@@ -63,28 +83,30 @@
 
 // One request and its answer. False once the connection is to be closed.
 Task<bool> HttpServer::exchange(Connection& connection) {
-  connection.idle = true;
-  connection.since = Clock::now();
-  std::vector<char> chunk(limits_.read_chunk);
+  using State = Connection::State;
+  const bool first = connection.state == State::silent;
   http::State state = connection.parser.advance();
-  TimePoint deadline = connection.since + limits_.client_idle;
+  TimePoint deadline =
+      first ? connection.connected + limits_.client_first : Clock::now() + limits_.client_idle;
   TimePoint received = Clock::now();
   while (state == http::State::more) {
-    if (!connection.parser.idle() && connection.idle) {
-      connection.idle = connection.fresh = false;
-      deadline = Clock::now() + limits_.client_read;
+    if (!connection.parser.idle() && connection.between()) {
+      connection.turn(State::reading);
+      if (!first) deadline = Clock::now() + limits_.client_read;
     }
-    const IoResult got = co_await connection.stream->read_some(chunk, deadline);
+    const IoResult got = co_await connection.stream->read_some(chunk_, deadline);
     if (got.io == Io::timed_out && !connection.parser.idle()) {
       metrics_.log("http", "a request was not finished in time");
+      connection.closing = true;
       co_await answer(connection, handler_.reject(408, "the request was not finished in time"));
     }
+    if (got.io == Io::timed_out && first && connection.parser.idle()) metrics_.count("clients.silent");
     if (got.io != Io::ok) co_return false;
     received = Clock::now();
-    connection.parser.feed({chunk.data(), got.bytes});
+    connection.parser.feed({chunk_.data(), got.bytes});
     state = connection.parser.advance();
   }
-  connection.idle = connection.fresh = false;
+  connection.turn(State::serving);
   if (state == http::State::bad) {
     metrics_.log("http", connection.parser.problem());
     connection.closing = true;
@@ -99,8 +121,14 @@
   http::Response response = co_await handler_.handle(std::move(request), caller, received);
   connection.stream->on_hang_up(nullptr);
   if (caller.gone()) co_return false;
+  const bool malformed = response.status >= 400 && response.status < 429;
   co_await answer(connection, std::move(response));
-  co_return !connection.closing;
+  if (connection.closing) co_return false;
+  connection.turn(State::idle);
+  // Guards against a client that repeats a malformed request as fast as it is turned away: its answer is not
+  // held back, but the next request waits.
+  if (malformed) co_await scheduler_.sleep_until(Clock::now() + limits_.client_pause);
+  co_return true;
 }
 
 Task<void> HttpServer::answer(Connection& connection, http::Response response) {
@@ -114,11 +142,15 @@
     co_return;
   }
   if (!connection.closing) co_return;
-  // Guards against an answer lost to a reset: bytes unread at the close would make one.
+  // Guards against an answer lost to a reset: bytes unread at the close would make one. Of a body that goes
+  // on and on only so much is read, as reading all of it would take the time of everybody else.
+  connection.turn(Connection::State::lingering);
   connection.stream->finish_writing();
-  std::vector<char> rest(4096);
-  const TimePoint until = Clock::now() + Milliseconds(500);
-  while ((co_await connection.stream->read_some(rest, until)).io == Io::ok) {
+  const TimePoint until = Clock::now() + limits_.client_linger;
+  for (std::size_t left = limits_.linger_bytes; left > 0;) {
+    const IoResult got = co_await connection.stream->read_some(chunk_, until);
+    if (got.io != Io::ok) co_return;
+    left -= std::min(left, got.bytes);
   }
 }
 
--- a/src/front/opensearch/opensearch_api.cpp
+++ b/src/front/opensearch/opensearch_api.cpp
@@ -170,6 +170,10 @@
     const ApiError error{429, "rejected_execution_exception", "refused: " + reply.why, {}, advice};
     return {429, error_body(error), advice};
   }
+  if (reply.kind == Reply::Kind::rejected) {
+    const ApiError error{409, "illegal_argument_exception", "rejected: " + reply.why, {}, {}};
+    return {409, error_body(error), {}};
+  }
   if (reply.kind == Reply::Kind::failed) {
     const ApiError error{504, "timeout_exception", "no answer in time: " + reply.why, {}, {}};
     return {504, error_body(error), {}};
--- a/src/front/opensearch/opensearch_front.cpp
+++ b/src/front/opensearch/opensearch_front.cpp
@@ -382,7 +382,8 @@
                                   {"_id", id},
                                   {"result", "created"},
                                   {"_shards", json::Object{{"total", 1}, {"successful", 1}, {"failed", 0}}}});
-  if (reply.kind == Reply::Kind::refused) co_return answer(write_search({}, reply, {}));
+  if (reply.kind == Reply::Kind::refused || reply.kind == Reply::Kind::rejected)
+    co_return answer(write_search({}, reply, {}));
   throw ApiError{504,
                  "timeout_exception",
                  "no answer in time; the document may have been recorded: repeat it under the same key",
--- a/src/front/platform/platform_front.cpp
+++ b/src/front/platform/platform_front.cpp
@@ -30,6 +30,7 @@
   if (!filter || !filter->string()) return "filter is not text";
   query.text = *filter->string();
   std::set<int> seen;
+  double whole = 0;
   for (const json::Value& slice : *slices->array()) {
     PartRequest part;
     const double shard = slice.number_or("slice", -1);
@@ -38,10 +39,13 @@
     if (!seen.insert(part.shard).second) return "slice is listed twice";
     part.weight = slice.number_or("mass", -1);
     if (part.weight < 0 || part.weight > 1) return "mass is not a share";
+    whole += part.weight;
     if (const json::Value* micros = slice.find("micros"); micros && micros->number())
       part.cost_hint = std::chrono::microseconds(static_cast<long>(std::clamp(*micros->number(), 0.0, 1e9)));
     query.parts.push_back(part);
   }
+  // Guards against shares that no answer could be weighed by.
+  if (std::abs(whole - 1) > limits.mass_slack) return "the masses do not add up to 1";
   return nullptr;
 }
 
@@ -60,7 +64,7 @@
   query.class_name = header("X-Call-Class");
   if (query.class_name.empty()) query.class_name = path.substr(0, path.find('/'));
   const cottonbay::ClassSettings* cls = broker.find_class(query.class_name);
-  if (!cls) {
+  if (!cls || path.substr(0, path.find('/')) != query.class_name) {
     status = 404;
     problem = "unknown class";
     return std::nullopt;
@@ -100,7 +104,7 @@
     return response;
   }
   const bool refused = reply.kind == Reply::Kind::refused;
-  response.status = refused ? 429 : 504;
+  response.status = refused ? 429 : reply.kind == Reply::Kind::rejected ? 409 : 504;
   if (refused && reply.retry_after > Duration::zero()) {
     const auto ms = std::chrono::ceil<Milliseconds>(reply.retry_after).count();
     const std::string fraction = std::to_string(1000 + ms % 1000).substr(1);
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -2,6 +2,7 @@
 #include "kelpdeal/frame_transport.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace kelpdeal {
 
@@ -22,6 +23,30 @@
   return list;
 }
 
+namespace {
+
+// The ids that a connection is done with, the latest ones: what is given up may still be answered, and an
+// answer may come twice. An answer under any other id is spoilt.
+class PastIds {
+ public:
+  explicit PastIds(std::size_t most) : most_(most) {}
+  void add(std::string id) {
+    if (!ids_.insert(id).second) return;
+    order_.push_back(std::move(id));
+    if (order_.size() <= most_) return;
+    ids_.erase(order_.front());
+    order_.pop_front();
+  }
+  bool contains(const std::string& id) const { return ids_.contains(id); }
+
+ private:
+  std::size_t most_;
+  std::unordered_set<std::string> ids_;
+  std::deque<std::string> order_;
+};
+
+}  // namespace
+
 // One connection to a node and all that is out on it.
 struct FrameTransport::Link {
   struct Item {
@@ -33,8 +58,12 @@
     AttemptId attempt = 0;
     TimePoint written;
   };
-  Link(Scheduler& scheduler, NodeId node, Address to, std::size_t frame_bytes)
-      : node(node), address(to), wanted(scheduler), reader(frame_bytes) {}
+  Link(Scheduler& scheduler, NodeId node, Address to, const Limits& limits)
+      : node(node),
+        address(to),
+        wanted(scheduler),
+        past(limits.past_ids * limits.parts_per_connection),
+        reader(limits.frame_bytes) {}
 
   NodeId node;
   Address address;
@@ -43,8 +72,10 @@
   std::deque<Item> queue;
   std::vector<AttemptId> writing;
   std::map<std::string, Out> out;  // by the id on the wire
+  PastIds past;
   std::deque<TimePoint> probes;
   frames::Reader reader;
+  std::optional<TimePoint> begun;  // when the frame that is not whole yet began
   TimePoint heard{}, used = Clock::now();
   bool up = false, ended = false, retired = false;
 
@@ -63,7 +94,7 @@
 
 FrameTransport::FrameTransport(Scheduler& scheduler, const Limits& limits, Metrics& metrics,
                                AttemptSink& sink)
-    : scheduler_(scheduler), limits_(limits), metrics_(metrics), sink_(sink) {}
+    : scheduler_(scheduler), limits_(limits), metrics_(metrics), sink_(sink), chunk_(limits.read_chunk) {}
 
 FrameTransport::~FrameTransport() = default;
 
@@ -79,7 +110,9 @@
 
 // A connection with room for so many parts, opened if need be. Null if there is none to be had.
 FrameTransport::LinkPtr FrameTransport::pick(NodeId id, std::size_t parts) {
-  Node& node = nodes_[id];
+  const auto known = nodes_.find(id);
+  if (known == nodes_.end()) return nullptr;
+  Node& node = known->second;
   LinkPtr best;
   for (const LinkPtr& link : node.links) {
     if (link->ended || link->retired || link->load() + parts > limits_.parts_per_connection) continue;
@@ -88,12 +121,12 @@
     if (!best || (link->up && !best->up) || (link->up == best->up && link->load() < best->load()))
       best = link;
   }
-  if (best || !node.address) return best;
+  if (best || !node.address || node.left) return best;
   if (connections_ >= limits_.node_connections && !make_room()) {
     metrics_.log("descriptors", "no connection left for a record node");
     return nullptr;
   }
-  best = std::make_shared<Link>(scheduler_, id, *node.address, limits_.frame_bytes);
+  best = std::make_shared<Link>(scheduler_, id, *node.address, limits_);
   node.links.push_back(best);
   ++connections_;
   metrics_.count("node.connections_opened");
@@ -140,6 +173,7 @@
   // brought nothing since a part was written on it gets no further parts.
   if (why == Why::timed_out && link->heard < out->second.written) link->retired = true;
   link->queue.push_back({frames::kGiveUp, {}, out->first});
+  link->past.add(out->first);
   link->out.erase(out);
   link->wanted.wake();
 }
@@ -153,8 +187,20 @@
 }
 
 void FrameTransport::close_idle(NodeId id) {
-  for (const LinkPtr& link : nodes_[id].links)
+  if (const auto node = nodes_.find(id); node != nodes_.end())
+    for (const LinkPtr& link : node->second.links)
+      if (link->idle()) link->cancel();
+}
+
+void FrameTransport::left(NodeId id) {
+  const auto node = nodes_.find(id);
+  if (node == nodes_.end()) return;
+  node->second.left = true;
+  for (const LinkPtr& link : node->second.links) {
+    link->retired = true;
     if (link->idle()) link->cancel();
+  }
+  if (node->second.links.empty()) nodes_.erase(node);
 }
 
 void FrameTransport::finish(Link&, AttemptId attempt, AttemptResult result) {
@@ -167,21 +213,34 @@
   if (link->stream && !link->ended) {
     link->up = true;
     scheduler_.spawn(write(link));
-    std::vector<char> chunk(limits_.read_chunk);
     while (!link->ended) {
-      const IoResult got = co_await link->stream->read_some(chunk, Clock::now() + limits_.node_idle);
+      // Guards against a frame that never ends: the node's own writes arrive together.
+      const TimePoint until =
+          link->begun ? *link->begun + limits_.frame_time : Clock::now() + limits_.node_idle;
+      const IoResult got = co_await link->stream->read_some(chunk_, until);
       if (got.io == Io::timed_out) {
+        if (link->begun) spoilt(*link, "a frame that did not end");
         if (link->idle() && Clock::now() - link->used >= limits_.node_idle) break;
         continue;
       }
       if (got.io != Io::ok) break;
       link->heard = link->used = Clock::now();
-      link->reader.feed({chunk.data(), got.bytes});
-      while (auto frame = link->reader.next()) read_frame(*link, *frame);
+      link->reader.feed({chunk_.data(), got.bytes});
+      while (!link->ended) {
+        const auto frame = link->reader.next();
+        if (!frame) break;
+        link->begun.reset();
+        read_frame(*link, *frame);
+      }
+      if (link->ended) break;
       if (link->reader.bad()) {
-        metrics_.log("frames", "a record node sent a frame out of bounds; connection closed");
+        spoilt(*link, "what is no frame");
         break;
       }
+      if (!link->reader.midway())
+        link->begun.reset();
+      else if (!link->begun)
+        link->begun = link->heard;
       if (link->retired && link->idle()) break;
     }
   } else if (!link->ended) {
@@ -193,7 +252,10 @@
 void FrameTransport::end(const LinkPtr& link) {
   link->cancel();
   --connections_;
-  std::erase(nodes_[link->node].links, link);
+  if (const auto node = nodes_.find(link->node); node != nodes_.end()) {
+    std::erase(node->second.links, link);
+    if (node->second.left && node->second.links.empty()) nodes_.erase(node);
+  }
   AttemptResult never, maybe;
   never.outcome = Outcome::connect_failed;  // a frame whose last byte was not written has not run
   maybe.outcome = Outcome::reset;
@@ -228,7 +290,9 @@
     } else {
       bytes = frames::encode(item.letter, item.id);
     }
-    const IoResult put = co_await link->stream->write_all(bytes);
+    // Guards against a machine that takes nothing more: what cannot be written has not run, and can go
+    // elsewhere.
+    const IoResult put = co_await link->stream->write_all(bytes, Clock::now() + limits_.frame_time);
     link->used = Clock::now();
     if (put.io != Io::ok) break;
     link->writing.clear();
@@ -242,20 +306,25 @@
   link->cancel();
 }
 
+// A connection that brought what cannot be trusted is of no further use. What is out on it may have run.
+void FrameTransport::spoilt(Link& link, const std::string& what) {
+  metrics_.count("node.spoilt");
+  metrics_.log("frames", "a record node sent " + what + "; connection closed");
+  link.cancel();
+}
+
 void FrameTransport::read_frame(Link& link, const frames::Frame& frame) {
   if (frame.letter == frames::kAnswer) {
     auto answer = frames::decode_answer(frame.rest);
-    if (!answer) {
-      metrics_.log("frames", "a record node's answer could not be read");
-      link.cancel();
-      return;
-    }
+    if (!answer) return spoilt(link, "an answer that could not be read");
     const auto out = link.out.find(answer->id);
     if (out == link.out.end()) {
+      if (!link.past.contains(answer->id)) return spoilt(link, "an answer to what it was not asked");
       metrics_.count("node.answers_too_late");
       return;
     }
     const AttemptId attempt = out->second.attempt;
+    link.past.add(out->first);
     link.out.erase(out);
     AttemptResult result;
     result.outcome = answer->end == 'S' ? Outcome::ok : answer->end == 'B' ? Outcome::full : Outcome::error;
@@ -263,15 +332,14 @@
     result.value = std::move(answer->value);
     finish(link, attempt, std::move(result));
   } else if (frame.letter == frames::kProbe || frame.letter == frames::kLoadProbe) {
-    if (link.probes.empty()) return;
+    if (link.probes.empty()) return spoilt(link, "an answer to a probe it was not asked");
     const Duration elapsed = Clock::now() - link.probes.front();
     link.probes.pop_front();
     sink_.probe_ended(link.node, frame.rest == "E" ? Outcome::error : Outcome::ok, elapsed, {});
+  } else if (frame.letter == frames::kUnusable) {
+    spoilt(link, "word that it could not use a frame: " + frame.rest);
   } else {
-    metrics_.log("frames", frame.letter == frames::kUnusable
-                               ? "a record node could not use a frame: " + frame.rest
-                               : "a record node sent an unknown frame");
-    link.cancel();
+    spoilt(link, "an unknown frame");
   }
 }
 
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -169,11 +169,16 @@
 }
 
 void OpenSearchTransport::probe(NodeId node) { scheduler_.spawn(run_probe(node)); }
-void OpenSearchTransport::close_idle(NodeId node) { nodes_[node].idle.clear(); }
+void OpenSearchTransport::close_idle(NodeId id) {
+  if (const auto node = nodes_.find(id); node != nodes_.end()) node->second.idle.clear();
+}
+void OpenSearchTransport::left(NodeId node) { nodes_.erase(node); }
 
 // A kept connection, or a new one. Null if there is none to be had.
 Task<std::unique_ptr<Stream>> OpenSearchTransport::open(NodeId id) {
-  Node& node = nodes_[id];
+  const auto known = nodes_.find(id);
+  if (known == nodes_.end()) co_return nullptr;
+  Node& node = known->second;
   while (!node.idle.empty()) {
     Kept kept = std::move(node.idle.back());
     node.idle.pop_back();
@@ -188,7 +193,10 @@
 }
 
 void OpenSearchTransport::keep(NodeId node, std::unique_ptr<Stream> stream) {
-  std::deque<Kept>& idle = nodes_[node].idle;
+  const auto known = nodes_.find(node);
+  // Guards against what a node sends behind its answer: the next request's answer would be read out of it.
+  if (known == nodes_.end() || stream->has_input()) return;
+  std::deque<Kept>& idle = known->second.idle;
   idle.push_back({std::move(stream), Clock::now()});
   // Guards against connections that pile up after a rush.
   while (!idle.empty() && Clock::now() - idle.front().since > limits_.node_idle) idle.pop_front();
@@ -200,15 +208,23 @@
   bounds.body = limits_.frame_bytes;
   http::Parser<http::Response> parser(bounds);
   std::vector<char> chunk(limits_.read_chunk);
+  bool begun = false;
   for (;;) {
     const IoResult got = co_await stream.read_some(chunk, deadline);
+    // Guards against an answer that trickles without end: the node's own writes arrive together.
+    if (!std::exchange(begun, true)) deadline = std::min(deadline, Clock::now() + limits_.frame_time);
     if (got.io == Io::ended && parser.finish_at_end()) co_return parser.take();
     if (got.io != Io::ok) co_return std::nullopt;
     parser.feed({chunk.data(), got.bytes});
     const http::State state = parser.advance();
-    if (state == http::State::done) co_return parser.take();
+    if (state == http::State::done) {
+      http::Response response = parser.take();
+      // Guards against more behind an answer than belongs to it: the connection is not used again.
+      if (!parser.idle()) response.headers.fields = {{"Connection", "close"}};
+      co_return response;
+    }
     if (state == http::State::bad) {
-      metrics_.log("node-api", "a record node's answer could not be read: " + parser.problem());
+      spoilt("an answer that could not be read: " + parser.problem());
       co_return std::nullopt;
     }
   }
@@ -221,9 +237,9 @@
   if (!call->stream || call->ended) {
     finish(*call, Outcome::connect_failed);
   } else {
-    const std::string host = nodes_[call->node].address->text();
-    const std::string bytes = http::write(write_node_request(call->parts, call->write, host, Clock::now()));
-    const IoResult put = co_await call->stream->write_all(bytes);
+    const std::string bytes =
+        http::write(write_node_request(call->parts, call->write, call->stream->peer().text(), Clock::now()));
+    const IoResult put = co_await call->stream->write_all(bytes, Clock::now() + limits_.frame_time);
     if (put.io != Io::ok) {
       finish(*call, Outcome::connect_failed);  // its last byte was not written: it has not run
     } else {
@@ -234,8 +250,7 @@
       if (!response) {
         finish(*call, Outcome::reset);
       } else {
-        const bool reusable = response->keeps_alive();
-        finish(*call, *response);
+        const bool reusable = finish(*call, *response) && response->keeps_alive();
         if (reusable) keep(call->node, std::move(call->stream));
       }
     }
@@ -251,7 +266,7 @@
     http::Request request;
     request.method = "GET";
     request.target = "/";
-    request.headers.fields = {{"Host", nodes_[node].address->text()}};
+    request.headers.fields = {{"Host", stream->peer().text()}};
     const std::string bytes = http::write(request);
     const TimePoint deadline = start + limits_.probe_timeout;
     if ((co_await stream->write_all(bytes, deadline)).io == Io::ok) {
@@ -263,6 +278,11 @@
   sink_.probe_ended(node, outcome, Clock::now() - start, {});
 }
 
+void OpenSearchTransport::spoilt(const std::string& what) {
+  metrics_.count("node.spoilt");
+  metrics_.log("node-api", "a record node sent " + what + "; connection closed");
+}
+
 void OpenSearchTransport::finish(AttemptId attempt, AttemptResult result) {
   if (where_.erase(attempt) > 0) sink_.attempt_ended(attempt, std::move(result));
 }
@@ -273,26 +293,28 @@
   for (const AttemptId attempt : std::exchange(call.wanted, {})) finish(attempt, result);
 }
 
-void OpenSearchTransport::finish(Call& call, const http::Response& response) {
+// False if the answer could not be read: nothing more is asked on its connection.
+bool OpenSearchTransport::finish(Call& call, const http::Response& response) {
   std::string error;
   const auto body = json::parse(response.body, error);
   const json::Value* answers = body && call.parts.size() > 1 ? body->find("responses") : nullptr;
   const bool each = answers && answers->array() && answers->array()->size() == call.parts.size();
   const bool usable = body && (call.parts.size() == 1 || each);
-  if (!usable && response.status == 200) metrics_.log("node-api", "a record node's answer could not be read");
+  if (!usable && response.status == 200) spoilt("an answer that could not be read");
   for (std::size_t i = 0; i < call.parts.size(); ++i) {
     AttemptResult result;
     if (each && response.status == 200) {
       const json::Value& one = (*answers->array())[i];
       result = read_node_answer(static_cast<int>(one.number_or("status", 200)), one);
     } else {
+      result = read_node_answer(response.status, body ? *body : json::Value());
       // An answer that cannot be read may have run all the same.
-      result = read_node_answer(usable || response.status != 200 ? response.status : 500,
-                                body ? *body : json::Value());
+      if (!usable && result.outcome == Outcome::ok) result.outcome = Outcome::reset;
     }
     finish(call.parts[i].id, std::move(result));
   }
   call.wanted.clear();
+  return usable || response.status != 200;
 }
 
 }  // namespace kelpdeal
--- a/src/parse/frames.cpp
+++ b/src/parse/frames.cpp
@@ -7,6 +7,9 @@
 namespace kelpdeal::frames {
 namespace {
 
+constexpr std::string_view kLetters = "12345X";
+constexpr std::size_t kLongestLine = 1024;  // of an answer: two numbers, an id and a load report
+
 // Splits a line into exactly N words parted by single spaces.
 template <std::size_t N>
 std::optional<std::array<std::string_view, N>> words(std::string_view line) {
@@ -78,12 +81,18 @@
 std::optional<AnswerPart> decode_answer(std::string_view rest) {
   const std::size_t end = rest.find('\n');
   if (end == std::string_view::npos) return std::nullopt;
-  const auto found = words<4>(rest.substr(0, end));
+  // Whatever follows the score is the report. One that cannot be read takes nothing from its answer.
+  std::string_view line = rest.substr(0, end);
+  std::size_t report = 0;
+  for (int i = 0; i < 3 && report != std::string_view::npos; ++i)
+    report = line.find(' ', report ? report + 1 : 0);
+  if (report == std::string_view::npos) return std::nullopt;
+  const auto found = words<3>(line.substr(0, report));
   if (!found || (*found)[1].size() != 1) return std::nullopt;
   AnswerPart answer;
   answer.id = (*found)[0];
   answer.end = (*found)[1][0];
-  answer.report = (*found)[3];
+  answer.report = line.substr(report + 1);
   answer.value = rest.substr(end + 1);
   if (answer.end != 'S' && answer.end != 'E' && answer.end != 'B') return std::nullopt;
   // Only an answer that is served needs its score; others may leave it out by "-".
@@ -96,11 +105,16 @@
   std::size_t length = 0;
   for (int i = 0; i < 4; ++i)
     length |= static_cast<std::size_t>(static_cast<unsigned char>(buffer_[i])) << (8 * i);
-  if (length == 0 || length > most_) {
+  const std::string_view begun = std::string_view(buffer_).substr(4, length);
+  // Guards against waiting for the rest of what is no frame.
+  if (length == 0 || length > most_ ||
+      (!begun.empty() && kLetters.find(begun[0]) == std::string_view::npos) ||
+      (begun.starts_with(kAnswer) && begun.substr(0, kLongestLine).find('\n') == std::string_view::npos &&
+       begun.size() >= std::min(length, kLongestLine))) {
     bad_ = true;
     return std::nullopt;
   }
-  if (buffer_.size() < 4 + length) return std::nullopt;
+  if (begun.size() < length) return std::nullopt;
   Frame frame{buffer_[4], buffer_.substr(5, length - 1)};
   buffer_.erase(0, 4 + length);
   return frame;
--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -300,6 +300,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 408:
       return "Request Timeout";
     case 413:
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -86,6 +86,13 @@
   writer_.wake(Wake::cancelled);
 }
 
+Address Stream::peer() const {
+  Address address;
+  socklen_t size = sizeof address.raw;
+  ::getpeername(descriptor_.get(), reinterpret_cast<sockaddr*>(&address.raw), &size);
+  return address;
+}
+
 bool Stream::has_input() const {
   pollfd one{descriptor_.get(), POLLIN, 0};
   return ::poll(&one, 1, 0) > 0;
--- a/tests/both_apis_test.cpp
+++ b/tests/both_apis_test.cpp
@@ -251,6 +251,159 @@
   }());
 }
 
+TEST_P(BothApis, ASpoiltAnswerIsAFailedAttemptThatMayHaveRunAndEndsItsConnection) {
+  const auto cut = [](const std::string& good) { return good.substr(0, good.size() - 3); };
+  const bool frames = GetParam().second == Api::platform;
+  const std::function<std::string(const std::string&)> spoils[] = {
+      [](const std::string&) { return std::string("\x07\x13noise that is no answer of any kind"); },
+      cut,                            // it never ends
+      [&](const std::string& good) {  // a value of 3 GB
+        if (frames) return std::string("\0\0\0\xc0", 4) + good.substr(4);
+        return std::string("HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n{");
+      },
+      [&](const std::string& good) {  // a line that never ends
+        if (frames) return frames::encode('5', std::string(5000, 'a'));
+        return good.substr(0, 20) + std::string(20'000, 'a');
+      },
+      [&](const std::string& good) {  // an unknown letter; no JSON
+        if (frames) return good.substr(0, 4) + "Q" + good.substr(5);
+        return std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot JSON!");
+      },
+      [&](const std::string& good) {  // an unknown end; no status
+        if (!frames) return "HTTP/1.1 abc" + good.substr(12);
+        std::string other = good;
+        other[other.find(" S ") + 1] = 'Z';
+        return other;
+      },
+      [&](const std::string& good) {  // an unknown id; no HTTP
+        if (!frames) return "ICY/1.1" + good.substr(8);
+        return frames::encode_answer({"0123456789abcdef.0", 'S', 1, "-", "x"});
+      },
+  };
+  for (const auto& spoil : spoils) {
+    World world(options());
+    int spoilt = 0;
+    for (auto& node : world.nodes)
+      node->behave = [&](const Seen&) {
+        Answer answer;
+        if (spoilt++ == 0) answer.spoil = spoil;
+        return answer;
+      };
+    world.start();
+    world.run([&]() -> Task<void> {
+      for (int i = 0; i < 3; ++i) {
+        const Result result = co_await world.ask("equipment-search", "0", 1s);
+        EXPECT_EQ(result, answered(true, "s0")) << "after " << spoil("abcd5q.0 S 1 -\nvalue");
+      }
+      EXPECT_EQ(world.gateway->metrics().value("attempts.reset"), 1u);
+      EXPECT_EQ(world.gateway->metrics().value("attempts.timeout"), 0u);
+      std::size_t connections = 0;
+      for (const auto& node : world.nodes) connections += node->connections;
+      EXPECT_EQ(connections, 2u);  // the spoilt one, and that of the next attempt
+    }());
+  }
+}
+
+TEST_P(BothApis, AGoodAnswerIsTakenWhateverStandsBehindIt) {
+  const bool frames = GetParam().second == Api::platform;
+  const std::function<std::string(const std::string&)> behind[] = {
+      [](const std::string& good) { return good + good; },
+      [](const std::string& good) { return good + "noise"; },
+      [&](const std::string& good) {  // a load report that cannot be read; a header of the node's own
+        std::string other = good;
+        if (frames) {
+          const std::size_t report = other.find(" -\n") + 1;
+          other.replace(report, 1, "{a b:c,");
+          other[0] = static_cast<char>(other[0] + 6);
+        } else {
+          other.insert(other.find("\r\n") + 2, "X-Load: {a b:c,\r\n");
+        }
+        return other;
+      },
+  };
+  for (const auto& spoil : behind) {
+    World world(options());
+    for (auto& node : world.nodes)
+      node->behave = [&](const Seen&) {
+        Answer answer;
+        answer.spoil = spoil;
+        return answer;
+      };
+    world.start();
+    world.run([&]() -> Task<void> {
+      for (int i = 0; i < 4; ++i) {
+        const Result result = co_await world.ask("equipment-search", "0", 1s);
+        EXPECT_EQ(result, answered(true, "s0"));
+        co_await world.pause(10ms);
+      }
+      EXPECT_EQ(world.gateway->metrics().value("attempts.ok"), 4u);
+      EXPECT_EQ(world.parts_seen(), 4u);
+    }());
+  }
+}
+
+TEST_P(BothApis, SilentAndHalfRequestsGetAnErrorOrACloseInTime) {
+  Options quick = options();
+  quick.adjust = [](Limits& limits) { limits.client_first = limits.client_read = 100ms; };
+  World world(quick);
+  world.start();
+  world.run([&]() -> Task<void> {
+    const bool platform = world.options.front == Api::platform;
+    const Address to = *Address::parse(platform ? world.gateway->address() : world.gateway->search_address());
+    for (const std::string text :
+         {"", "P", "POST /equipment-search HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"}) {
+      const auto stream = co_await connect(world.scheduler, to, Clock::now() + 1s);
+      co_await stream->write_all(text);
+      std::vector<char> chunk(1024);
+      const IoResult got = co_await stream->read_some(chunk, Clock::now() + 1s);
+      EXPECT_EQ(got.io, text.empty() ? Io::ended : Io::ok);
+      const std::string head(chunk.data(), got.bytes);
+      EXPECT_EQ(head.substr(0, 13), text.empty() ? "" : "HTTP/1.1 408 ");
+    }
+    EXPECT_EQ(world.gateway->metrics().value("clients.silent"), 1u);
+  }());
+}
+
+TEST_P(BothApis, ClientsAreServedWhileOthersHoldEveryConnectionAndSayNothing) {
+  Options few = options();
+  few.adjust = [](Limits& limits) { limits.client_connections = 8; };
+  World world(few);
+  world.start();
+  world.run([&]() -> Task<void> {
+    const bool platform = world.options.front == Api::platform;
+    const Address to = *Address::parse(platform ? world.gateway->address() : world.gateway->search_address());
+    std::vector<std::unique_ptr<Stream>> silent;
+    for (int i = 0; i < 40; ++i) silent.push_back(co_await connect(world.scheduler, to, Clock::now() + 1s));
+    const TimePoint start = Clock::now();
+    const Result result = co_await world.ask("equipment-search", "0", 1s);
+    EXPECT_EQ(result, answered(true, "s0"));
+    EXPECT_LT(Clock::now() - start, 900ms);
+    EXPECT_GE(world.gateway->metrics().value("clients.shed"), 30u);
+  }());
+}
+
+TEST_P(BothApis, AMalformedRequestIsAnsweredAtOnceAndTheNextOneWaits) {
+  World world(options());
+  world.start();
+  world.run([&]() -> Task<void> {
+    const bool platform = world.options.front == Api::platform;
+    const Address to = *Address::parse(platform ? world.gateway->address() : world.gateway->search_address());
+    const auto stream = co_await connect(world.scheduler, to, Clock::now() + 1s);
+    http::Request request = world.request("equipment-search", "0", 1s, "");
+    request.body = "{";
+    const std::string bytes = http::write(request);
+    std::vector<char> chunk(1024);
+    const TimePoint start = Clock::now();
+    for (int i = 0; i < 3; ++i) {
+      co_await stream->write_all(bytes);
+      co_await stream->read_some(chunk, Clock::now() + 1s);
+      EXPECT_LT(Clock::now() - start, 80ms + i * 150ms);
+    }
+    EXPECT_GE(Clock::now() - start, 200ms);
+    EXPECT_EQ(world.gateway->metrics().value("clients.status_400"), 3u);
+  }());
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Fronts, BothApis,
     testing::Values(std::pair(Api::platform, Api::platform), std::pair(Api::opensearch, Api::platform),
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -199,6 +199,8 @@
       {"q.3 S -4 x\n", true, 'S', ""},
       {"q.3 B - -\n", true, 'B', ""},
       {"q.3 E 0 -\n", true, 'E', ""},
+      {"q.3 S 1 a report of\tits own\nabc", true, 'S', "abc"},
+      {"q.3 S 1 \nabc", true, 'S', "abc"},
       {"q.3 S x -\nabc", false, 0, ""},
       {"q.3 Z 1 -\nabc", false, 0, ""},
       {"q.3 S 1 -", false, 0, ""},
