Suspect a server only after two errors or broken connections in a row

At fault: src/balance.cpp, learn(): one error cost four answers in a row (kErrorDebt), each part of a call again, one reset made a suspect; a shard whose two holders are suspects is refused. Checked and ruled out: wrong choice of second-step shards (scores and order are right in every case), lost precision of scores, the transport (no late or unknown ids).

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -34,6 +34,8 @@
 constexpr double kReaped = 0.3;             // share of first parts on idle connections lost, of one query
 constexpr double kReapSpan = 20;            // of the least aim: idle connections are mistrusted for so long
 constexpr double kTrialShare = 1.0 / 2;     // of the time to the aim: the longest wait for a suspect's trial
+constexpr double kErrorStep = 0.3;          // weight of a new error or answer in a server's share of errors
+constexpr double kErrorsBad = 0.5;          // share of errors from which on a server is a suspect
 constexpr double kErrorDebt = 4;            // answers in a row that one error costs a server
 constexpr double kMostDebt = 12;            // ... and the most it can owe, so that it can come back
 constexpr double kFirstBackoff = 1.0 / 4;   // of the least aim: first pause before a suspect is tried again
@@ -214,6 +216,7 @@
   int open_parts = 0;
   double debt = 0, backoff = 0, trial_at = 0;  // owed answers; while above 0 it is a suspect
   bool was_down = false, silent = false;
+  double errors = 0, erred_at = -kNever, broke_at = -kNever;
   double cold_since = -kNever, tokens = 0, tokens_at = 0;
   bool usable() const { return listed && entry.state == ServerState::serving; }
   bool suspect() const { return debt > 0; }
@@ -625,6 +628,7 @@
         measure(server, e.elapsed_ms, was.siblings);
         done_rate_.count(now_, least_aim_);
         server.heard_at = now_;
+        server.errors -= kErrorStep * server.errors;
         if (server.was_down) {  // danger: it may have come back cold before the list says so
           server.was_down = false;
           if (server.cold_since < now_ - s_.cold_ms) chill(server, now_);
@@ -634,21 +638,33 @@
           server.trial_at = now_;
           if (!server.suspect()) {
             server.backoff = 0;
+            server.errors = kErrorStep;
             log("server " + std::to_string(server.entry.id) + " answers again");
           }
         }
         break;
       case Outcome::error:  // danger: failing fast looks like low latency, so errors never count as one
         server.heard_at = now_;
-        doubt(server, std::min(std::max(server.debt, 0.0) + kErrorDebt, kMostDebt), "errors");
+        // Danger: a sound server turns a part away now and then, and the parts of one call together. If each
+        // such error cost it its place, its partners would get all its work, and both be missed.
+        if (now_ > server.erred_at) server.errors += kErrorStep * (1 - server.errors);
+        server.erred_at = now_;
+        if (server.errors >= kErrorsBad || server.suspect())
+          doubt(server, std::min(std::max(server.debt, 0.0) + kErrorDebt, kMostDebt), "errors");
         break;
       case Outcome::full:  // danger: without the bound by the aim the patience would feed on itself
         server.heard_at = now_;
         server.closed_until = now_ + kFirstBackoff * least_aim_;
         measure(server, std::max(server.latency, std::min(patience(), least_aim_)), was.siblings);
         break;
+      case Outcome::reset: {  // danger: one connection that breaks, or brought what cannot be read, tells
+        // little of its server; all that was out on it ends at once. A dead one refuses the next.
+        const bool excused = server.broke_at == now_ || server.heard_at > server.broke_at;
+        server.broke_at = now_;
+        if (excused && !server.suspect()) break;
+      }
+        [[fallthrough]];
       case Outcome::connect_failed:
-      case Outcome::reset:
         server.was_down = true;
         doubt(server, std::max(server.debt, 1.0), "connection lost");
         break;
