Serve on through a drain until the longest aim before the platform's kill

The logs show n1 ending at 16.42 (SIGTERM 15.86) while n0, told at 12.86 and gone at 13.42, is back only at 16.80: for 0.4 s none is there. Ruled out: discovery and the reload (both moves answered within 10 ms). At fault: src/front/http_server.cpp, drain(): idle connections were closed at once, the listener after 0.55 s, every answer closed its connection. Change: connections stay in use until one longest aim before drain_end (both from the settings); what comes later than 0.55 s has its reply by drain_end; with no connection left the stop is as quick as before.

--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -158,6 +158,8 @@
   const cottonbay::Settings& settings() const { return settings_; }
   const cottonbay::ClassSettings* find_class(std::string_view name) const;
   std::size_t open() const { return open_; }
+  // Whatever comes from now on has its reply by then.
+  void finish_by(TimePoint when) { finish_by_ = when; }
 
   void attempt_ended(AttemptId attempt, AttemptResult result) override;
   void probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load) override;
@@ -171,6 +173,7 @@
   Metrics& metrics_;
   std::unique_ptr<Driver> driver_;
   UsedIds used_;
+  TimePoint finish_by_ = kNever;
   std::size_t open_ = 0;  // queries and parts held
 };
 
--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -28,10 +28,10 @@
              HttpHandler& handler);
   Address address() const { return listener_.address(); }
 
-  // A planned stop: serves on, then closes the listener and what is idle. drained() tells when nothing is
-  // left.
+  // A planned stop: serves on for a while, then closes the listener and what is idle. drained() tells when
+  // nothing is left.
   void drain();
-  bool drained() const { return draining_ && !accepting_ && connections_.empty(); }
+  bool drained() const { return draining_ && connections_.empty() && (!accepting_ || parting_); }
 
  private:
   struct Connection {
@@ -63,8 +63,9 @@
   Listener listener_;
   std::list<Connection> connections_;
   std::vector<char> chunk_;  // what is read goes through here at once; no connection keeps one
-  Timer drain_timer_;
-  bool draining_ = false, accepting_ = true;
+  Timer drain_timer_, parting_timer_;
+  // Of a planned stop: begun; over once no connection is left; nothing is kept open any more.
+  bool draining_ = false, parting_ = false, closing_ = false, accepting_ = true;
 };
 
 }  // namespace kelpdeal
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -59,8 +59,12 @@
   Duration watch_wait = Milliseconds(20'000);
   Duration watch_slack = Milliseconds(2'000);  // beyond the wait, until a call counts as failed
 
-  // SIGTERM: new connections are taken for so long, and fresh ones may still bring a request.
+  // SIGTERM. Clients use the connections they have for as long as these stay open, and new ones keep coming
+  // for a while: all is served on for `drain_serve` (for `drain_accept`, if no connection is left by then).
+  // What comes later than `drain_accept` ends by `drain_end`, before the platform may kill us.
   Duration drain_accept = Milliseconds(550);
+  Duration drain_serve = Milliseconds(1'100);  // settings: one longest aim before the end
+  Duration drain_end = Milliseconds(3'600);    // settings: the longest deadline, 3 s at most, and 0.6 s
   Duration drain_most = Milliseconds(10'000);
 
   // Log: of one kind of line, at most one in so long; the others are counted.
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -144,6 +144,7 @@
 
 Task<Reply> Broker::serve(QueryRequest request, Caller& caller) {
   metrics_.count("queries.taken");
+  request.expires = std::min(request.expires, finish_by_);
 
   // Admit: the settings bound what one coordinator may hold.
   const cottonbay::ClassSettings* cls = find_class(request.class_name);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -139,6 +139,13 @@
   limits.parts_per_call = static_cast<std::size_t>(config.settings.parts_per_call);
   limits.parts_per_connection = static_cast<std::size_t>(s.integer("limits.multiplex", 1, 1));
   limits.connect_timeout = to_duration(FractionalMs(config.settings.connect_timeout_ms));
+  double longest = 0, aim = 0;
+  for (const cottonbay::ClassSettings& c : config.settings.classes) {
+    longest = std::max(longest, c.deadline_ms);
+    aim = std::max(aim, c.aim_ms);
+  }
+  limits.drain_end = to_duration(FractionalMs(std::min(longest, 3'000.0))) + Milliseconds(600);
+  limits.drain_serve = std::max(limits.drain_accept, limits.drain_end - to_duration(FractionalMs(aim)));
   limits.frame_time = limits.connect_timeout;
   limits.most_retry_after = to_duration(FractionalMs(config.settings.max_retry_after_ms));
   const double idle = s.at_least("limits.connIdleMs", 30'000, 1);
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -58,12 +58,11 @@
 void HttpServer::drain() {
   if (draining_) return;
   draining_ = true;
-  // Clients use the connections they have for as long as these stay open, and new ones keep coming for a
-  // while. What is idle closes at once unless it is new or a request is already in.
-  for (Connection& connection : connections_)
-    if (connection.state == Connection::State::idle && !connection.stream->has_input())
-      connection.stream->cancel();
-  drain_timer_ = scheduler_.in(limits_.drain_accept, [this] {
+  // Guards against a stop that leaves clients without a coordinator while others are restarted too: they use
+  // the connections they have for as long as these stay open.
+  parting_timer_ = scheduler_.in(limits_.drain_accept, [this] { parting_ = true; });
+  drain_timer_ = scheduler_.in(limits_.drain_serve, [this] {
+    closing_ = true;
     listener_.close();
     for (Connection& connection : connections_)
       if (connection.between() && !connection.stream->has_input()) connection.stream->cancel();
@@ -132,7 +131,7 @@
 }
 
 Task<void> HttpServer::answer(Connection& connection, http::Response response) {
-  connection.closing |= draining_;
+  connection.closing |= closing_;
   if (connection.closing) response.headers.fields.emplace_back("Connection", "close");
   metrics_.count("clients.status_" + std::to_string(response.status));
   const IoResult put =
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,7 +98,7 @@
   HttpServer server;
   std::optional<OpenSearchFront> search_front;
   std::optional<HttpServer> search_server;
-  Timer drain_timer;
+  Timer drain_timer, finish_timer;
 };
 
 Gateway::Gateway(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract)
@@ -132,7 +132,12 @@
   parts_->front.unready();
   parts_->server.drain();
   if (parts_->search_server) parts_->search_server->drain();
-  parts_->look_whether_drained(Clock::now() + parts_->limits.drain_most);
+  const TimePoint now = Clock::now();
+  // Guards against a request taken late in the drain that a kill would find without its answer.
+  parts_->finish_timer = parts_->scheduler.in(parts_->limits.drain_accept, [parts = parts_.get(), now] {
+    parts->broker.finish_by(now + parts->limits.drain_end);
+  });
+  parts_->look_whether_drained(now + parts_->limits.drain_most);
 }
 
 void Gateway::reload(const std::function<Config()>& read) {
