Count only connections idle for an aim as dropped unseen

The logs hold 'idle connections lose what is sent on them'. At fault: src/balance.cpp, try_send(): a server with nothing out for 5 ms counted as idle, so one that stood still lowered reaped_after_ to that, and for 20 aims every call closed its connection and opened another: a handshake of the node's time each.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -32,6 +32,7 @@
 constexpr double kHopeless = 1.0 / 2;       // of the time to the aim: holders slower than it are spared
 constexpr double kLostDeviations = 4;       // later than the mean by so many: lost, if the query ends first
 constexpr double kReaped = 0.3;             // share of first parts on idle connections lost, of one query
+constexpr double kReapIdle = 1;             // of the least aim: a connection idle for less is not dropped
 constexpr double kReapSpan = 20;            // of the least aim: idle connections are mistrusted for so long
 constexpr double kTrialShare = 1.0 / 2;     // of the time to the aim: the longest wait for a suspect's trial
 constexpr double kErrorStep = 0.3;          // weight of a new error or answer in a server's share of errors
@@ -510,7 +511,10 @@
       server->open_reply = reply_;
       server->open_parts = 0;
       server->open_call = ++call_;
-      server->idle = server->out.empty() ? now_ - server->used_at : -1;
+      // A server that stands still for a moment would make every connection look dropped, and have a new one
+      // opened for each call.
+      const bool rested = server->out.empty() && now_ - server->used_at >= kReapIdle * least_aim_;
+      server->idle = rested ? now_ - server->used_at : -1;
       // Danger: something between drops idle connections unseen, and what is sent on one gets no answer.
       if (server->idle >= reaped_after_ && now_ < reaped_until_) {
         emit(CloseIdle{server->entry.id});
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -287,6 +287,26 @@
   for (RequestId p = 6001; p <= 6004; ++p) EXPECT_EQ(host.attempts(p), 1);
 }
 
+// A server that stood still for a moment dropped no connection: nothing is closed for that.
+TEST(Health, ConnectionsInSteadyUseAreNotClosed) {
+  Host host;
+  std::vector<ServerEntry> servers;
+  for (ServerId id = 11; id < 15; ++id) servers.push_back(Host::server(id, static_cast<int>(id - 11)));
+  host.list(0, servers);
+  for (RequestId i = 0; i < 10; ++i) {
+    host.ask(host.now + 5, 1000 + 10 * i, "whole", 4);
+    for (RequestId p = 1; p <= 4; ++p) host.ends(host.now + 20, 1000 + 10 * i + p, Outcome::ok);
+  }
+  for (RequestId i = 0; i < 3; ++i) {
+    host.ask(host.now + 200, 5000 + 10 * i, "whole", 4);
+    host.feed(host.now + 600);
+    host.settle(Outcome::timeout);
+    host.feed(host.now + 600);
+    host.settle(Outcome::ok);
+  }
+  EXPECT_EQ(host.count<CloseIdle>(), 0);
+}
+
 // Errors of a while ago: with few answers a mixer, trust must not take a dozen of them to come back.
 TEST(Health, DebtsHalveAtEachAnswer) {
   Host host;
