Copy a late part at a silent server to another holder

At fault: src/balance.cpp, give_up_at() and learn(): nothing was done about such a part before its time-out, and one called off told nothing of its server. Change: later than mean + 4 deviations with no answer of its server since: a copy at a sound holder that has not had the part (where the class may repeat), first answer counts, the other is called off; a late part called off from a silent server makes it a suspect.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -343,6 +343,7 @@
       if (p->in || p->dead) return;
       p->in = true;
       p->parked = false;
+      call_off(*p);
       lag_.observe(std::max(now_ - (a.sent + e.elapsed_ms), 0.0) + s_.tick_ms);
       q->arrivals.push_back(std::max(now_ - q->arrived, s_.tick_ms / 2));
       if (!progress(*q)) refit(*q);
@@ -361,6 +362,7 @@
   void on(const TimerFired& e) {
     if (e.token == "sweep") {
       if (s_.list_on_request && (now_ >= renew_at_ || now_ - asked_at_ > s_.ask_within_ms)) subscribe();
+      copy_late_parts();
       timer(sweep_every(), "sweep");
     } else if (Query* q = find(std::strtoull(e.token.c_str(), nullptr, 10))) {
       if (now_ >= q->timer - kWeightSlack) expire(*q);
@@ -469,15 +471,19 @@
   }
 
   void drop_parts(Query& q) {
-    for (const Part& p : q.parts) {
-      for (std::size_t i = 0; i < p.attempts.size(); ++i)
-        if (p.attempts[i].out && s_.may_cancel) emit(Cancel{p.id, static_cast<int>(i)});
+    for (Part& p : q.parts) {
+      call_off(p);
       part_of_.erase(p.id);
       --open_;
     }
     q.parts.clear();
   }
 
+  void call_off(Part& p) {
+    for (std::size_t i = 0; i < p.attempts.size(); ++i)
+      if (s_.may_cancel && std::exchange(p.attempts[i].out, false)) emit(Cancel{p.id, static_cast<int>(i)});
+  }
+
   // ---- attempts ----
   bool may_retry(const Query& q, const Part& p) const {
     if (static_cast<int>(p.attempts.size()) >= s_.max_attempts || q.end_at <= now_) return false;
@@ -498,8 +504,27 @@
   // Sends a part to the best holder there is, or leaves it parked for the next event.
   void try_send(Query& q, Part& p) {
     if (!p.attempts.empty() && (!may_retry(q, p) || !budget_left())) return;
-    Server* server = pick(q, p);
-    if (!server) return;
+    if (Server* server = pick(q, p)) send(q, p, server);
+  }
+
+  // Danger: what is out at a server that hangs or stands still waits for its time-out, and is late by then.
+  // Once it is later than usual, and its server has answered nothing since, a copy goes to another holder.
+  // The first answer counts; where a whole fleet is slow its servers answer on, and nothing is copied.
+  void copy_late_parts() {
+    if (!s_.may_copy || fleet_n_ < kFleetKnown) return;
+    const double usual = fleet_mean_ + kLostDeviations * fleet_dev_;
+    for (auto& [id, q] : queries_)
+      for (Part& p : q.parts) {
+        if (p.in || p.dead || p.attempts.empty() || q.late || q.cls->effect == Effect::unsafe) continue;
+        const Attempt& last = p.attempts.back();
+        const Server* silent = find_server(last.server);
+        if (!last.out || now_ - last.sent <= usual || (silent && silent->heard_at >= last.sent)) continue;
+        if (!may_retry(q, p) || !budget_left()) continue;
+        if (Server* server = pick(q, p, true)) send(q, p, server);
+      }
+  }
+
+  void send(Query& q, Part& p, Server* server) {
     p.parked = false;
     double until = give_up_at(q, p);
     // Danger: a trial at a server that still hangs costs its query, if it leaves no time for another try.
@@ -549,7 +574,7 @@
   // ---- which replica ----
   // Design: least smoothed latency times own calls out plus one. Exceptions: suspects are left out but
   // for gentle trials, cold servers have a budget, holders that failed this part come last.
-  Server* pick(Query& q, const Part& p) {
+  Server* pick(Query& q, const Part& p, bool copy = false) {
     Server* best = nullptr;
     Server* retried = nullptr;
     Server* trial = nullptr;
@@ -578,6 +603,7 @@
         }
       }
     }
+    if (copy) return best;  // beside one that is out: at a sound holder that has not had this part
     if (!best) best = retried;
     // Danger: with every holder down, a part's few attempts are burnt within milliseconds. It waits,
     // unsent, for a trial to fall due; a server that only errs is alive and may be asked at once.
@@ -689,6 +715,8 @@
       case Outcome::cancelled:  // danger: under overload the slow parts are those that are cancelled, and a
         // mean of the rest looks calm
         measure(server, std::max(server.heard ? server.latency : 0, e.elapsed_ms), was.siblings);
+        if (unheard && e.elapsed_ms > fleet_mean_ + kLostDeviations * fleet_dev_)
+          doubt(server, was.sent, std::max(server.debt, 1.0), "no answer", true);
         break;
       case Outcome::moot:
         break;
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -287,6 +287,45 @@
   for (RequestId p = 6001; p <= 6004; ++p) EXPECT_EQ(host.attempts(p), 1);
 }
 
+// The newest attempt of a part is the copy; what is late is out beside it.
+TEST(Health, ALatePartAtASilentServerIsCopiedToAnotherHolder) {
+  Settings settings = make_settings();
+  settings.may_copy = true;
+  Host host(settings);
+  host.list(0, {Host::server(11, 0), Host::server(12, 0)});
+  host.warm_up(100);
+  host.ask(host.now + 5, 1, "whole", 1);
+  const ServerId silent = host.last_server(2);
+  host.feed(host.now + 200);
+  EXPECT_EQ(host.attempts(2), 2);  // well before its time-out
+  EXPECT_NE(host.last_server(2), silent);
+  host.ends(host.now + 100, 2, Outcome::ok);
+  EXPECT_EQ(host.ended(1), "w");
+  EXPECT_EQ(host.count<Cancel>(), 1);
+  host.ends(host.now + 1, 2, Outcome::cancelled);
+  const int before = host.sent_to(silent);
+  for (RequestId id = 10; id < 60; id += 10) host.ask(host.now + 1, id, "once", 1);
+  EXPECT_EQ(host.sent_to(silent), before);  // a suspect now
+}
+
+TEST(Health, NothingIsCopiedThatMayNotRunTwiceOrWhoseServerAnswersOthers) {
+  Settings settings = make_settings();
+  settings.may_copy = true;
+  for (const char* cls : {"once", "whole"}) {
+    Host host(settings);
+    host.list(0, {Host::server(11, 0), Host::server(12, 0)});
+    host.warm_up(100);
+    host.ask(host.now + 5, 1, cls, 1);
+    const ServerId server = host.last_server(2);
+    RequestId other = 10;  // one that the same server answers meanwhile
+    for (host.ask(host.now, other, "whole", 1); host.last_server(other + 1) != server;)
+      host.ask(host.now, other += 10, "whole", 1);
+    if (std::string(cls) == "whole") host.ends(host.now + 50, other + 1, Outcome::ok);
+    host.feed(host.now + 300);
+    EXPECT_EQ(host.attempts(2), 1) << cls;
+  }
+}
+
 // A server that stood still for a moment dropped no connection: nothing is closed for that.
 TEST(Health, ConnectionsInSteadyUseAreNotClosed) {
   Host host;
