Close the longest idle clients beyond a quarter of the descriptors

At fault: src/front/http_server.cpp, shed_one() took silent newcomers first, so connections that asked once and stayed were never closed before client_idle (10 s); they held the third of the descriptors that the platform gives to requests, and usual clients got none. Checked and ruled out: our refusals (4), 503 of readiness (a crowd asks for it on connections of its own, also before the drain), the accept backlog, CPU. Change: of connections that have asked, the longest idle ones beyond sockets / 4 close. Test: BothApis.ConnectionsThatAskedOnceAndStayDoNotUseUpWhatRequestsMayHold.

--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -55,6 +55,7 @@
   Task<bool> exchange(Connection& connection);
   Task<void> answer(Connection& connection, http::Response response);
   bool shed_one();
+  void shed_idle();
 
   Scheduler& scheduler_;
   const Limits limits_;
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -24,6 +24,7 @@
 
   // Descriptors. What is left of the platform's figure goes to discovery, the listeners and epoll.
   std::size_t client_connections = 512;
+  std::size_t client_requests = 256;  // of them, those that have asked for something: idle ones over it close
   std::size_t node_connections = 384;
   int backlog = 511;
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -153,6 +153,9 @@
   limits.node_idle = to_duration(FractionalMs(std::max(idle * 0.8, idle - 5'000)));
   const auto sockets = static_cast<std::size_t>(f.integer("limits.sockets", 1024, 64));
   limits.client_connections = sockets / 2;
+  // The platform gives clients a third of the descriptors for their requests. What is kept stays well under
+  // it.
+  limits.client_requests = sockets / 4;
   limits.node_connections = sockets * 3 / 8;
   return config;
 }
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "kelpdeal/http_server.h"
 
+#include <algorithm>
+
 namespace kelpdeal {
 
 HttpServer::HttpServer(Scheduler& scheduler, Address listen, const Limits& limits, Metrics& metrics,
@@ -19,6 +21,7 @@
     metrics_.count("clients.connections");
     connections_.emplace_back(std::move(stream), limits_.http);
     scheduler_.spawn(converse(std::prev(connections_.end())));
+    shed_idle();
     // Guards against more descriptors than we may hold: newcomers wait in the backlog until one is free.
     while (connections_.size() >= limits_.client_connections) {
       if (shed_one()) co_await scheduler_.yield();
@@ -29,6 +32,27 @@
   accepting_ = false;
 }
 
+// Guards against clients that ask once and keep their connection: once these hold all that the platform gives
+// to requests, nobody else gets one. The longest idle ones go.
+void HttpServer::shed_idle() {
+  using State = Connection::State;
+  std::vector<Connection*> idle;
+  std::size_t used = 0;
+  for (Connection& c : connections_) {
+    if (c.shed || c.state == State::silent) continue;
+    ++used;
+    if (c.state == State::idle && !c.stream->has_input()) idle.push_back(&c);
+  }
+  if (used <= limits_.client_requests) return;
+  std::sort(idle.begin(), idle.end(), [](const auto* a, const auto* b) { return a->since < b->since; });
+  idle.resize(std::min(idle.size(), used - limits_.client_requests));
+  for (Connection* c : idle) {
+    c->shed = true;
+    c->stream->cancel();
+  }
+  metrics_.count("clients.shed_idle", idle.size());
+}
+
 // Closes the connection that is worth least, if one may go: what has its answer, newcomers that say nothing,
 // requests that come to no end, and last what is idle between two requests. True if one is on its way out.
 bool HttpServer::shed_one() {
--- a/tests/both_apis_test.cpp
+++ b/tests/both_apis_test.cpp
@@ -382,6 +382,31 @@
   }());
 }
 
+TEST_P(BothApis, ConnectionsThatAskedOnceAndStayDoNotUseUpWhatRequestsMayHold) {
+  Options few = options();
+  few.adjust = [](Limits& limits) { limits.client_requests = 6; };
+  World world(few);
+  world.start();
+  world.run([&]() -> Task<void> {
+    const bool platform = world.options.front == Api::platform;
+    const Address to = *Address::parse(platform ? world.gateway->address() : world.gateway->search_address());
+    std::vector<std::unique_ptr<Stream>> kept;
+    std::vector<char> chunk(4096);
+    for (int i = 0; i < 20; ++i) {
+      kept.push_back(co_await connect(world.scheduler, to, Clock::now() + 1s));
+      const std::string bytes = http::write(world.request("equipment-search", "0", 1s, ""));
+      co_await kept.back()->write_all(bytes);
+      EXPECT_EQ((co_await kept.back()->read_some(chunk, Clock::now() + 1s)).io, Io::ok);
+    }
+    co_await world.pause(20ms);
+    std::size_t open = 0;
+    for (const auto& stream : kept) open += !stream->has_input();
+    EXPECT_LE(open, 8u);
+    EXPECT_FALSE(kept.back()->has_input());  // the longest idle ones went
+    EXPECT_TRUE(kept.front()->has_input());
+  }());
+}
+
 TEST_P(BothApis, AMalformedRequestIsAnsweredAtOnceAndTheNextOneWaits) {
   World world(options());
   world.start();
