--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -126,6 +126,26 @@
   }());
 }
 
+TEST(Discovery, OneThatFallsSilentIsAskedAgainOnANewConnection) {
+  EXPECT_LE(Limits().watch_wait + Limits().watch_slack, 3s);  // so long at most nothing is heard
+  Options options;
+  options.watch_wait_ms = 50;
+  options.adjust = [](Limits& limits) { limits.watch_slack = 100ms; };
+  World world(options);
+  world.discovery->silent = true;
+  world.start();
+  world.run([&]() -> Task<void> {
+    const TimePoint until = Clock::now() + 3s;
+    while (world.discovery->called.size() < 2 && Clock::now() < until) co_await world.pause(2ms);
+    EXPECT_GE(world.discovery->called.size(), 2u);
+    world.discovery->silent = false;
+    world.discovery->set("n1", world.nodes[1]->address(), 1, "terminating");
+    while (world.gateway->metrics().value("discovery.answers") == 0 && Clock::now() < until)
+      co_await world.pause(2ms);
+    EXPECT_GE(world.gateway->metrics().value("discovery.answers"), 1u);
+  }());
+}
+
 TEST(Discovery, ServiceGoesOnWhileItFailsAndItIsAskedAgain) {
   World world({});
   world.discovery->failing = true;
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -243,6 +243,7 @@
     const TimePoint until = Clock::now() + Milliseconds(wait ? std::stoll(*wait) : 0);
     while (index && version_ <= after && Clock::now() < until && !failing)
       co_await scheduler_.sleep_until(Clock::now() + Milliseconds(2));
+    if (silent) continue;  // the call is never answered
     http::Response response;
     response.status = failing ? 503 : 200;
     response.body = failing ? "" : list(!index, after);
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -69,7 +69,7 @@
   explicit Discovery(Scheduler& scheduler);
   void set(const std::string& uid, const std::string& endpoint, int cell, const std::string& state,
            std::int64_t boot_ms = 0);
-  bool failing = false;
+  bool failing = false, silent = false;
   std::vector<TimePoint> called, answered;
   std::vector<std::string> asked;  // the targets of the calls
   std::string address() const { return listener_.address().text(); }
