Copy a late part again if its copy fails

At fault: src/balance.cpp, copy_late_parts() looked at the newest attempt only, and a copy that was reset left the late one out until the end, as on(AttemptEnded) returns while another is out. Test: Health.ALatePartIsCopiedAgainIfItsCopyFails.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -516,9 +516,13 @@
     for (auto& [id, q] : queries_)
       for (Part& p : q.parts) {
         if (p.in || p.dead || p.attempts.empty() || q.late || q.cls->effect == Effect::unsafe) continue;
-        const Attempt& last = p.attempts.back();
+        // The newest one out: a copy that failed leaves the late one behind, which needs another.
+        const auto out =
+            std::find_if(p.attempts.rbegin(), p.attempts.rend(), [](const Attempt& a) { return a.out; });
+        if (out == p.attempts.rend()) continue;
+        const Attempt& last = *out;
         const Server* silent = find_server(last.server);
-        if (!last.out || now_ - last.sent <= usual || (silent && silent->heard_at >= last.sent)) continue;
+        if (now_ - last.sent <= usual || (silent && silent->heard_at >= last.sent)) continue;
         if (!may_retry(q, p) || !budget_left()) continue;
         if (Server* server = pick(q, p, true)) send(q, p, server);
       }
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -308,6 +308,20 @@
   EXPECT_EQ(host.sent_to(silent), before);  // a suspect now
 }
 
+TEST(Health, ALatePartIsCopiedAgainIfItsCopyFails) {
+  Settings settings = make_settings();
+  settings.may_copy = true;
+  Host host(settings);
+  host.list(0, three());
+  host.warm_up(100);
+  host.ask(host.now + 5, 1, "whole", 1);
+  host.feed(host.now + 200);
+  EXPECT_EQ(host.attempts(2), 2);
+  host.ends(host.now + 1, 2, Outcome::reset);
+  host.feed(host.now + 200);
+  EXPECT_EQ(host.attempts(2), 3);
+}
+
 TEST(Health, NothingIsCopiedThatMayNotRunTwiceOrWhoseServerAnswersOthers) {
   Settings settings = make_settings();
   settings.may_copy = true;
