Let a late part's copy go to a holder that failed it and has it no more

At fault: src/balance.cpp, pick(): in copying, only holders that never had the part were taken. Now: any sound one where it is not out. Test: Health.ALatePartIsCopiedAgainIfItsCopyFails with two holders.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -589,6 +589,10 @@
       for (Server* server : by_cell_[cell]) {
         // Danger: a full server says so at once, and a part's few attempts are burnt there in no time.
         if (!may_warm(*server) || server->closed_until > now_) continue;
+        const bool there = std::any_of(p.attempts.begin(), p.attempts.end(), [server](const Attempt& a) {
+          return a.out && a.server == server->entry.id;
+        });
+        if (there) continue;
         const bool tried = std::any_of(p.attempts.begin(), p.attempts.end(),
                                        [server](const Attempt& a) { return a.server == server->entry.id; });
         if (server->suspect()) {
@@ -607,8 +611,8 @@
         }
       }
     }
-    if (copy) return best;  // beside one that is out: at a sound holder that has not had this part
     if (!best) best = retried;
+    if (copy) return best;  // beside one that is out elsewhere
     // Danger: with every holder down, a part's few attempts are burnt within milliseconds. It waits,
     // unsent, for a trial to fall due; a server that only errs is alive and may be asked at once.
     if (!best && trial && trial->debt <= 1 && trial_at > now_) return nullptr;
