--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -14,6 +14,17 @@
 namespace kelpdeal::json {
 
 class Value;
+// A whole number that a double does not hold exactly.
+struct Exact {
+  double approximate = 0;
+  std::int64_t value = 0;
+  bool operator==(const Exact&) const = default;
+};
+// JSON text that is written as it stands; whoever makes one has checked it.
+struct Raw {
+  std::string text;
+  bool operator==(const Raw&) const = default;
+};
 using Array = std::vector<Value>;
 using Member = std::pair<std::string, Value>;
 using Object = std::vector<Member>;  // in the order written
@@ -24,8 +35,9 @@
   Value(bool value) : data_(value) {}
   Value(double value) : data_(value) {}
   Value(int value) : data_(static_cast<double>(value)) {}
-  Value(std::int64_t value) : data_(static_cast<double>(value)) {}
+  Value(std::int64_t value);
   Value(std::uint64_t value) : data_(static_cast<double>(value)) {}
+  Value(Raw text) : data_(std::move(text)) {}
   Value(std::string value) : data_(std::move(value)) {}
   Value(std::string_view value) : data_(std::string(value)) {}
   Value(const char* value) : data_(std::string(value)) {}
@@ -34,10 +46,18 @@
 
   bool is_null() const { return std::holds_alternative<std::monostate>(data_); }
   const bool* boolean() const { return std::get_if<bool>(&data_); }
-  const double* number() const { return std::get_if<double>(&data_); }
+  const double* number() const {
+    if (const Exact* exact = std::get_if<Exact>(&data_)) return &exact->approximate;
+    return std::get_if<double>(&data_);
+  }
+  // Exactly, if it is a whole number that 64 bits hold.
+  std::optional<std::int64_t> integer() const;
   const std::string* string() const { return std::get_if<std::string>(&data_); }
   const Array* array() const { return std::get_if<Array>(&data_); }
   const Object* object() const { return std::get_if<Object>(&data_); }
+  Array* array() { return std::get_if<Array>(&data_); }
+  Object* object() { return std::get_if<Object>(&data_); }
+  const Raw* raw() const { return std::get_if<Raw>(&data_); }
 
   // The member of that name, or null. Of two of one name the last counts.
   const Value* find(std::string_view name) const;
@@ -51,7 +71,7 @@
   bool operator==(const Value& other) const = default;
 
  private:
-  std::variant<std::monostate, bool, double, std::string, Array, Object> data_;
+  std::variant<std::monostate, bool, double, std::string, Array, Object, Exact, Raw> data_;
 };
 
 struct Bounds {
@@ -62,7 +82,34 @@
 // One whole JSON text, or why it is not one in `error`.
 std::optional<Value> parse(std::string_view text, std::string& error, const Bounds& bounds = {});
 
+// Whether it is one whole JSON text; builds nothing.
+bool valid(std::string_view text, const Bounds& bounds = {});
+
+// Goes through the members of an object, or the items of an array, without building values. For text that
+// valid() has passed; of any other text it may give anything that lies within it.
+class Walk {
+ public:
+  explicit Walk(std::string_view text);
+  bool is_object() const { return open_ == '{'; }
+  bool is_array() const { return open_ == '['; }
+  // False at the end.
+  bool next();
+  std::string_view name() const { return name_; }  // of a member, escapes as written
+  std::string_view raw() const { return raw_; }
+
+ private:
+  std::string_view text_, name_, raw_;
+  std::size_t at_ = 0;
+  char open_ = 0;
+};
+// The raw text of a member (the last of that name), or nothing.
+std::optional<std::string_view> member(std::string_view object, std::string_view name);
+// A string as it is meant; the text itself if it has no quotes.
+std::string unquote(std::string_view raw);
+
 std::string write(const Value& value);
+// In lines, indented by two, as a person reads it.
+std::string write_pretty(const Value& value);
 // A string in quotes.
 std::string quote(std::string_view text);
 
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -1,11 +1,28 @@
 // SPDX-License-Identifier: MIT
 #include "kelpdeal/json.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
 namespace kelpdeal::json {
 
+Value::Value(std::int64_t value) {
+  const auto approximate = static_cast<double>(value);
+  if (std::abs(approximate) < 9007199254740992.0)
+    data_ = approximate;
+  else
+    data_ = Exact{approximate, value};
+}
+
+std::optional<std::int64_t> Value::integer() const {
+  if (const Exact* exact = std::get_if<Exact>(&data_)) return exact->value;
+  const double* number = std::get_if<double>(&data_);
+  if (!number || std::abs(*number) > 9007199254740992.0 || *number != std::floor(*number))
+    return std::nullopt;
+  return static_cast<std::int64_t>(*number);
+}
+
 const Value* Value::find(std::string_view name) const {
   const Object* members = object();
   if (!members) return nullptr;
@@ -42,6 +59,10 @@
 
 namespace {
 
+constexpr double kExactInDouble = 9007199254740992.0;  // 2^53
+
+// Builds the value, or only checks that there is one.
+template <bool kBuild>
 class Reader {
  public:
   Reader(std::string_view text, const Bounds& bounds) : text_(text), bounds_(bounds) {}
@@ -118,12 +139,12 @@
         space();
         if (!take(':')) return fail("expected a colon");
         if (!read(member.second, depth + 1)) return false;
-        members.push_back(std::move(member));
+        if constexpr (kBuild) members.push_back(std::move(member));
         space();
       } while (take(','));
       if (!take('}')) return fail("expected , or }");
     }
-    value = Value(std::move(members));
+    if constexpr (kBuild) value = Value(std::move(members));
     return true;
   }
 
@@ -135,12 +156,12 @@
       do {
         Value item;
         if (!read(item, depth + 1)) return false;
-        items.push_back(std::move(item));
+        if constexpr (kBuild) items.push_back(std::move(item));
         space();
       } while (take(','));
       if (!take(']')) return fail("expected , or ]");
     }
-    value = Value(std::move(items));
+    if constexpr (kBuild) value = Value(std::move(items));
     return true;
   }
 
@@ -155,6 +176,7 @@
     const bool zero = at_ < text_.size() && text_[at_] == '0';
     const std::size_t whole = digits();
     if (whole == 0 || (zero && whole > 1)) return fail("unknown value");
+    const std::size_t whole_end = at_;
     if (take('.') && digits() == 0) return fail("bad number");
     if (at_ < text_.size() && (text_[at_] == 'e' || text_[at_] == 'E')) {
       ++at_;
@@ -164,7 +186,13 @@
     double number = 0;
     const auto got = std::from_chars(text_.data() + start, text_.data() + at_, number);
     if (got.ec != std::errc() || !std::isfinite(number)) return fail("number out of range");
-    value = Value(number);
+    if constexpr (!kBuild) return true;
+    std::int64_t exact = 0;
+    if (at_ == whole_end && std::abs(number) >= kExactInDouble &&
+        std::from_chars(text_.data() + start, text_.data() + at_, exact).ec == std::errc())
+      value = Value(exact);
+    else
+      value = Value(number);
     return true;
   }
 
@@ -197,18 +225,20 @@
   bool read_string(std::string& out) {
     ++at_;
     while (at_ < text_.size()) {
+      const std::size_t from = at_;
+      while (at_ < text_.size() && text_[at_] != '"' && text_[at_] != '\\' &&
+             static_cast<unsigned char>(text_[at_]) >= 0x20)
+        ++at_;
+      if constexpr (kBuild) out.append(text_, from, at_ - from);
+      if (at_ >= text_.size()) break;
       const char c = text_[at_++];
       if (c == '"') return true;
-      if (static_cast<unsigned char>(c) < 0x20) return fail("control character in a string");
-      if (c != '\\') {
-        out += c;
-        continue;
-      }
+      if (c != '\\') return fail("control character in a string");
       if (at_ >= text_.size()) break;
-      static constexpr std::string_view from = "\"\\/bfnrt", to = "\"\\/\b\f\n\r\t";
+      static constexpr std::string_view written = "\"\\/bfnrt", meant = "\"\\/\b\f\n\r\t";
       const char escape = text_[at_++];
-      if (const std::size_t i = from.find(escape); i != std::string_view::npos) {
-        out += to[i];
+      if (const std::size_t i = written.find(escape); i != std::string_view::npos) {
+        out += meant[i];
       } else if (escape == 'u') {
         unsigned code = 0;
         if (!hex4(code)) return false;
@@ -234,32 +264,60 @@
   std::string problem_;
 };
 
-void append(std::string& out, const Value& value) {
+void append_double(std::string& out, double number) {
+  char buffer[32];
+  const auto got = std::to_chars(buffer, buffer + sizeof buffer, number);
+  out.append(buffer, got.ptr);
+}
+
+// A value that holds no others.
+bool append_plain(std::string& out, const Value& value) {
   if (value.is_null()) {
     out += "null";
+  } else if (const Raw* raw = value.raw()) {
+    out += raw->text;
   } else if (const bool* flag = value.boolean()) {
     out += *flag ? "true" : "false";
   } else if (const double* number = value.number()) {
-    char buffer[32];
-    const auto got = std::to_chars(buffer, buffer + sizeof buffer, *number);
-    out.append(buffer, got.ptr);
+    const auto exact = value.integer();
+    if (exact && std::abs(*number) >= kExactInDouble)
+      out += std::to_string(*exact);
+    else
+      append_double(out, *number);
   } else if (const std::string* text = value.string()) {
     out += quote(*text);
-  } else if (const Array* items = value.array()) {
+  } else {
+    return false;
+  }
+  return true;
+}
+
+// `indent` below 0: on one line.
+void append(std::string& out, const Value& value, int indent) {
+  if (append_plain(out, value)) return;
+  const int inner = indent < 0 ? indent : indent + 2;
+  const auto line = [&out](int spaces) {
+    if (spaces >= 0) out.append(1, '\n').append(static_cast<std::size_t>(spaces), ' ');
+  };
+  if (const Array* items = value.array()) {
     out += '[';
     for (std::size_t i = 0; i < items->size(); ++i) {
       if (i) out += ',';
-      append(out, (*items)[i]);
+      line(inner);
+      append(out, (*items)[i], inner);
     }
+    if (!items->empty()) line(indent);
     out += ']';
   } else if (const Object* members = value.object()) {
     out += '{';
     for (std::size_t i = 0; i < members->size(); ++i) {
       if (i) out += ',';
+      line(inner);
       out += quote((*members)[i].first);
-      out += ':';
-      append(out, (*members)[i].second);
+      out += indent < 0 ? ":" : " : ";
+      append(out, (*members)[i].second, inner);
     }
+    if (!members->empty()) line(indent);
     out += '}';
   }
 }
@@ -267,15 +325,113 @@
 }  // namespace
 
 std::optional<Value> parse(std::string_view text, std::string& error, const Bounds& bounds) {
-  return Reader(text, bounds).whole(error);
+  return Reader<true>(text, bounds).whole(error);
+}
+
+bool valid(std::string_view text, const Bounds& bounds) {
+  std::string error;
+  return Reader<false>(text, bounds).whole(error).has_value();
 }
 
 std::string write(const Value& value) {
   std::string out;
-  append(out, value);
+  append(out, value, -1);
   return out;
 }
 
+std::string write_pretty(const Value& value) {
+  std::string out;
+  append(out, value, 0);
+  return out + '\n';
+}
+
+namespace {
+
+std::size_t after_space(std::string_view text, std::size_t at) {
+  while (at < text.size() && (text[at] == ' ' || text[at] == '\t' || text[at] == '\n' || text[at] == '\r'))
+    ++at;
+  return at;
+}
+
+// `at` is behind the opening quote.
+std::size_t after_string(std::string_view text, std::size_t at) {
+  for (;; ++at) {
+    at = text.find('"', at);
+    if (at == std::string_view::npos) return text.size();
+    std::size_t slashes = 0;
+    while (slashes < at && text[at - slashes - 1] == '\\') ++slashes;
+    if (slashes % 2 == 0) return at + 1;
+  }
+}
+
+std::size_t after_value(std::string_view text, std::size_t at) {
+  std::size_t depth = 0;
+  while (at < text.size()) {
+    const char c = text[at];
+    if (c == '"') {
+      at = after_string(text, at + 1);
+    } else if (c == '{' || c == '[') {
+      ++depth;
+      ++at;
+      continue;
+    } else if (c == '}' || c == ']') {
+      if (depth == 0) return at;
+      --depth;
+      ++at;
+    } else if (c == ',' && depth == 0) {
+      return at;
+    } else {
+      ++at;
+      continue;
+    }
+    if (depth == 0) return at;
+  }
+  return at;
+}
+
+}  // namespace
+
+Walk::Walk(std::string_view text) : text_(text) {
+  at_ = after_space(text_, 0);
+  if (at_ < text_.size() && (text_[at_] == '{' || text_[at_] == '[')) open_ = text_[at_++];
+}
+
+bool Walk::next() {
+  if (!open_) return false;
+  at_ = after_space(text_, at_);
+  if (at_ < text_.size() && text_[at_] == ',') at_ = after_space(text_, at_ + 1);
+  if (at_ >= text_.size() || text_[at_] == '}' || text_[at_] == ']') return false;
+  if (open_ == '{') {
+    const std::size_t from = at_ + 1;
+    at_ = after_string(text_, from);
+    name_ = text_.substr(std::min(from, text_.size()), at_ > from ? at_ - from - 1 : 0);
+    at_ = after_space(text_, at_);
+    if (at_ < text_.size() && text_[at_] == ':') at_ = after_space(text_, at_ + 1);
+  }
+  const std::size_t from = at_;
+  at_ = after_value(text_, at_);
+  raw_ = text_.substr(from, at_ - from);
+  while (!raw_.empty() && static_cast<unsigned char>(raw_.back()) <= ' ') raw_.remove_suffix(1);
+  return at_ > from;
+}
+
+std::optional<std::string_view> member(std::string_view object, std::string_view name) {
+  std::optional<std::string_view> found;
+  Walk walk(object);
+  if (!walk.is_object()) return found;
+  while (walk.next())
+    if (walk.name() == name) found = walk.raw();
+  return found;
+}
+
+std::string unquote(std::string_view raw) {
+  if (raw.size() < 2 || raw.front() != '"') return std::string(raw);
+  if (raw.find('\\') == std::string_view::npos) return std::string(raw.substr(1, raw.size() - 2));
+  std::string error;
+  const auto value = parse(raw, error);
+  return value && value->string() ? *value->string() : std::string();
+}
+
 std::string quote(std::string_view text) {
   static constexpr char hex[] = "0123456789abcdef";
   std::string out = "\"";
