--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -18,6 +18,7 @@
 #include "kelpdeal/config.h"
 #include "kelpdeal/limits.h"
 #include "kelpdeal/metrics.h"
+#include "kelpdeal/part_sink.h"
 #include "kelpdeal/scheduler.h"
 #include "kelpdeal/task.h"
 #include "kelpdeal/time.h"
@@ -32,6 +33,7 @@
   int shard = 0;
   double weight = 0;
   std::optional<Duration> cost_hint;
+  std::shared_ptr<const std::string> text{};  // for this part alone; null: the request's
 };
 
 struct QueryRequest {
@@ -41,6 +43,8 @@
   bool repeat = false;
   TimePoint expires;  // when the client has to have the whole answer
   std::vector<PartRequest> parts;
+  bool operation = false;    // the text is a line that says what to do, and the document
+  PartSink* sink = nullptr;  // gets the values as they come in, and then the reply holds none
 };
 
 // One try of one part at one node.
@@ -49,6 +53,7 @@
   std::string query, class_name, key, text;
   int shard = 0;
   TimePoint until;
+  bool operation = false;  // as in the request
   // The second step of a query: which shards were in after the first, and whether that one was whole.
   bool second = false, first_whole = false;
   std::vector<int> from;
@@ -158,6 +163,8 @@
   const cottonbay::Settings& settings() const { return settings_; }
   const cottonbay::ClassSettings* find_class(std::string_view name) const;
   std::size_t open() const { return open_; }
+  // The nodes listed now, those that drain included.
+  std::vector<NodeEntry> nodes() const;
   // Whatever comes from now on has its reply by then.
   void finish_by(TimePoint when) { finish_by_ = when; }
 
--- a/include/kelpdeal/contract.h
+++ b/include/kelpdeal/contract.h
@@ -22,6 +22,16 @@
 struct IndexContract {
   std::string name, class_name;
   int first_slice = 0, slices = 0;  // slices in a row
+  std::string write_class{};  // of documents, if they may be read and written; empty: as class_name says
+  struct Alias {
+    std::string name;
+    json::Value filter{};  // a query; null: none
+  };
+  std::vector<Alias> aliases{};
+  bool hidden = false;       // patterns leave it out unless they ask for hidden ones
+  std::string time_field{};  // holds when a document was recorded; cursors leave out what came after them
+  json::Value properties{};  // of the mapping: field to type and such
+  json::Value settings{};    // shown as they are
 };
 
 struct TeamContract {
@@ -37,6 +47,8 @@
   bool opensearch_nodes = false;  // the record nodes are spoken to in this API too
   // Bounds on what nodes and discovery may send; 0: those of Limits.
   std::size_t frame_bytes = 0, list_bytes = 0;
+  std::string cursor_keys;         // the text of the file that holds them; empty: each start draws its own
+  std::string version = "2.11.0";  // of the API, as clients are told
   std::vector<IndexContract> indices;
   std::vector<TeamContract> teams;  // none: anybody may ask for anything
 };
--- a/include/kelpdeal/http.h
+++ b/include/kelpdeal/http.h
@@ -28,6 +28,8 @@
   // The value of a query parameter, as written; nothing if absent.
   std::optional<std::string> parameter(std::string_view name) const;
   bool keeps_alive() const;
+  // All query parameters, decoded, in the order written.
+  std::vector<std::pair<std::string, std::string>> parameters() const;
 };
 
 struct Response {
@@ -43,7 +45,7 @@
   std::size_t body = 64 * 1024;
 };
 
-enum class State { more, done, bad };
+enum class State { more, head, done, bad };
 
 // Feed it bytes until it is done or bad. What follows the message stays in the buffer for the next.
 template <typename Message>
@@ -56,6 +58,14 @@
   State advance();
   Message take();
 
+  // Stops once at the end of each head, with State::head: its message can be looked at, and what its body may
+  // hold be set, before the body is read.
+  void stop_at_head() { stops_at_head_ = true; }
+  const Message& message() const { return message_; }
+  void bound_body(std::size_t most) { most_body_ = most; }
+  // What of the body has come since the last call, for one that is used as it comes.
+  std::string take_piece() { return std::exchange(message_.body, {}); }
+
   bool idle() const { return stage_ == Stage::start && buffer_.empty(); }
   // The status that tells a client what was wrong: 400, 413, 431, 501 or 505.
   int status() const { return status_; }
@@ -64,7 +74,19 @@
   bool finish_at_end();
 
  private:
-  enum class Stage { start, head, length, chunk_size, chunk, chunk_end, trailer, until_end, done, bad };
+  enum class Stage {
+    start,
+    head,
+    framing,
+    length,
+    chunk_size,
+    chunk,
+    chunk_end,
+    trailer,
+    until_end,
+    done,
+    bad
+  };
   State bad(int status, std::string problem);
   bool line(std::string_view& text);
   bool start_line(std::string_view text);
@@ -76,6 +98,8 @@
   Message message_;
   Stage stage_ = Stage::start;
   std::size_t left_ = 0, head_bytes_ = 0;
+  std::size_t most_body_ = bounds_.body, body_bytes_ = 0;
+  bool stops_at_head_ = false, stopped_ = false;
   int status_ = 400;
   std::string problem_;
 };
--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -13,9 +13,29 @@
 
 namespace kelpdeal {
 
+// A request's body as it comes in.
+class HttpBody {
+ public:
+  virtual ~HttpBody() = default;
+  // The next piece; nothing once there is no more, and then `whole` tells whether it came to its end.
+  virtual Task<std::optional<std::string>> next() = 0;
+  virtual bool whole() const = 0;
+};
+
 class HttpHandler {
  public:
   virtual ~HttpHandler() = default;
+  // What the body of a request with this head may hold, and whether it goes to stream() as it comes.
+  struct Reading {
+    std::size_t most = 0;  // 0: as the server's bounds say
+    bool streamed = false;
+  };
+  virtual Reading reading(const http::Request&) const { return {}; }
+  virtual Task<http::Response> stream(http::Request head, HttpBody& body, Caller& caller,
+                                      TimePoint received) {
+    (void)body;
+    return handle(std::move(head), caller, received);
+  }
   // `received` is when the request's last byte was read.
   virtual Task<http::Response> handle(http::Request request, Caller& caller, TimePoint received) = 0;
   // The answer to what cannot be read as a request.
@@ -43,6 +63,7 @@
     TimePoint since = connected;  // of the present state
     enum class State { silent, idle, reading, serving, lingering } state = State::silent;
     bool closing = false, shed = false;
+    bool invite = false;  // the client waits for word that its body is wanted
     void turn(State next) {
       state = next;
       since = Clock::now();
@@ -52,7 +73,10 @@
   using Place = std::list<Connection>::iterator;
   Task<void> accept_all();
   Task<void> converse(Place place);
+  class Streamed;
+  http::State advance(Connection& connection);
   Task<bool> exchange(Connection& connection);
+  Task<bool> take_stream(Connection& connection, TimePoint received);
   Task<void> answer(Connection& connection, http::Response response);
   bool shed_one();
   void shed_idle();
--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -107,6 +107,29 @@
 // A string as it is meant; the text itself if it has no quotes.
 std::string unquote(std::string_view raw);
 
+// Takes an object's text as it comes in, and gives the items of its list `member` one by one, as text. Holds
+// no more than one item.
+class ItemStream {
+ public:
+  ItemStream(std::string member, std::size_t most) : member_(std::move(member)), most_(most) {}
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  // The next item that is whole. It may still be no JSON: see valid().
+  std::optional<std::string> next();
+  // It cannot be such an object, or an item, or what stands around them, is longer than `most`.
+  bool bad() const { return bad_; }
+  bool done() const { return done_; }
+
+ private:
+  std::string member_, buffer_, key_;
+  std::size_t most_, at_ = 0, around_ = 0;
+  std::size_t depth_ = 0;         // of what is open
+  std::size_t item_from_ = npos;  // where the present item began
+  bool in_string_ = false, escaped_ = false, in_list_ = false, value_next_ = false;
+  std::size_t string_from_ = npos;
+  bool bad_ = false, done_ = false;
+  static constexpr std::size_t npos = static_cast<std::size_t>(-1);
+};
+
 std::string write(const Value& value);
 // In lines, indented by two, as a person reads it.
 std::string write_pretty(const Value& value);
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -18,6 +18,17 @@
   std::size_t list_bytes = 4 << 20;      // body of a discovery answer
   std::size_t frame_bytes = 256 * 1024;  // of one frame from a record node
   std::size_t parts_per_query = 1000;
+  // Of the search front: one body, one bulk, one line of it, what one request of many items holds.
+  std::size_t search_body = 1 << 20;
+  std::size_t bulk_bytes = 16 << 20;
+  std::size_t bulk_line = 1 << 20;
+  std::size_t bulk_items = 10'000;  // beyond them items are turned away unread
+  std::size_t searches = 200;       // of one multi-search
+  std::size_t documents = 1'000;    // of one multi-get
+  std::size_t fanout = 48;          // items open at once over all requests of many items
+  std::size_t fanout_of_one = 16;   // ... of one of them
+  std::size_t cursors = 10'000, cursors_of_team = 500;
+  std::size_t cursor_bytes = 32 * 1024;
   std::size_t read_chunk = 16 * 1024;
   std::size_t used_ids = 4096;  // of queries whose client may still wait
   double mass_slack = 0.0001;   // the masses of a query add up to 1 but for so much (the rule on answers)
--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -1,8 +1,12 @@
 // SPDX-License-Identifier: MIT
-// The OpenSearch-style front: searches over indices, multi-searches, and writes of documents, in that API's
-// terms and under the same decisions and rules as the platform's front.
+// The OpenSearch-style front: searches and cursors over indices, documents, and what clients look at, in that
+// API's terms and under the same decisions and rules as the platform's front. What is asked is read, checked
+// and put together by the package search; this is the way between it, HTTP and the broker.
 #pragma once
 
+#include <deque>
+#include <map>
+#include <memory>
 #include <span>
 #include <string>
 #include <vector>
@@ -10,11 +14,19 @@
 #include "kelpdeal/broker.h"
 #include "kelpdeal/contract.h"
 #include "kelpdeal/http_server.h"
+#include "kelpdeal/search/api_error.h"
+#include "kelpdeal/search/bulk.h"
+#include "kelpdeal/search/cursor.h"
+#include "kelpdeal/search/fanout.h"
+#include "kelpdeal/search/request.h"
+#include "kelpdeal/search/tasks.h"
 
 namespace kelpdeal {
 
 namespace opensearch {
 
+using search::ApiError;
+
 struct Route {
   const char* method;
   const char* pattern;  // as in an OpenAPI description: "/{index}/_search"
@@ -22,63 +34,146 @@
 // Every call that the front takes.
 std::span<const Route> routes();
 
-// An error in the API's terms; thrown by what reads requests.
-struct ApiError {
-  int status = 400;
-  std::string type, reason, index;
-  Duration retry_after{};
-};
 http::Response write_error(const ApiError& error);
 json::Value error_body(const ApiError& error);
 
-// "500ms", "2s", "1m" ...; nothing for -1. Throws ApiError.
-std::optional<Duration> parse_time(const std::string& text, const char* name);
-
-// The indices that an expression names, in the contract's order of naming: "a,b", "equipment-*", "_all".
-std::vector<const IndexContract*> resolve(const std::string& expression, bool ignore_unavailable,
-                                          const std::vector<IndexContract>& indices);
-
-// One search, as asked for.
-struct Search {
-  std::vector<const IndexContract*> indices;
-  std::string class_name, text, routing;
-  std::optional<Duration> timeout;
-  bool allow_partial = true;
-  std::size_t from = 0, size = 10;
-};
-// The slices that a search needs, each once.
-std::vector<int> slices_of(const Search& search);
+// A slice's number for a routing value: the same at every coordinator and after every start.
 int slice_of(const IndexContract& index, const std::string& routing);
 
-// A status and a body, ready to be written or to stand in a multi-search.
-struct Rendered {
+// A status and a body, ready to be written or to stand in an answer of several.
+struct Answer {
   int status = 200;
   json::Value body;
   Duration retry_after{};
+  std::optional<std::string> text{};  // in place of the body: of _cat
 };
-Rendered write_search(const Search& search, const Reply& reply, Duration took);
+Answer answer_error(const ApiError& error);
+
+// The slices that a search visits.
+struct Plan {
+  struct Part {
+    int slice = 0;
+    std::vector<json::Value> filters;
+    std::optional<std::pair<std::size_t, std::size_t>> partition;
+    const search::Position* after = nullptr;
+  };
+  std::string class_name;
+  std::vector<Part> parts;
+  std::vector<search::Target> targets;
+  std::string index_of(int slice) const;
+};
+// Throws ApiError.
+Plan make_plan(std::vector<search::Target> targets, const std::string& routing);
+
+struct Call;
 
 }  // namespace opensearch
 
 class OpenSearchFront : public HttpHandler {
  public:
+  // Throws ConfigError if the contract's aliases hold queries that are none.
   OpenSearchFront(Scheduler& scheduler, Broker& broker, FrontContract contract, const Limits& limits,
                   std::uint64_t seed, Metrics& metrics);
 
   Task<http::Response> handle(http::Request request, Caller& caller, TimePoint received) override;
+  Task<http::Response> stream(http::Request head, HttpBody& body, Caller& caller,
+                              TimePoint received) override;
+  Reading reading(const http::Request& head) const override;
   http::Response reject(int status, const std::string& problem) override;
 
  private:
-  struct Call;
-  Task<http::Response> dispatch(const Call& call, Caller& caller);
-  Task<opensearch::Rendered> search(opensearch::Search search, const Call& call, Caller& caller);
-  Task<void> search_one(std::string header, std::string body, const Call& call, Caller& caller,
-                        opensearch::Rendered& outcome, Mailbox<int>& done);
-  Task<http::Response> multi_search(const Call& call, Caller& caller);
-  Task<http::Response> write_document(const Call& call, Caller& caller);
-  opensearch::Search read_search(const std::string& expression, const json::Value& header,
-                                 const std::string& body, const Call& call) const;
+  using Answer = opensearch::Answer;
+  using Call = opensearch::Call;
+  using Method = Task<Answer> (OpenSearchFront::*)(Call& call, Caller& caller);
+  struct Handler;
+  static std::span<const Handler> handlers();
+  friend std::span<const opensearch::Route> opensearch::routes();
+
+  const Handler& route(Call& call) const;  // throws ApiError
+  Task<http::Response> respond(Call& call, HttpBody* body, Caller& caller);
+  http::Response write(const Call& call, Answer answer) const;
+
+  // src/front/opensearch/search_calls.cpp
+  Task<Answer> search(Call& call, Caller& caller);
+  Task<Answer> multi_search(Call& call, Caller& caller);
+  Task<Answer> count(Call& call, Caller& caller);
+  Task<Answer> validate(Call& call, Caller& caller);
+  Task<Answer> search_template(Call& call, Caller& caller);
+  Task<Answer> multi_search_template(Call& call, Caller& caller);
+  Task<Answer> render_template(Call& call, Caller& caller);
+  Task<Answer> run_many(Call& call, bool templates, Caller& caller);
+  Task<void> search_one(const Call& call, const json::Value& header, std::string body, bool is_template,
+                        Caller& caller, Answer& outcome, Mailbox<int>& done);
+  Task<Answer> search_body(Call& call, const json::Value& body, Caller& caller);
+  struct Found {
+    search::Page page;
+    Reply reply;
+    std::vector<int> asked;
+    Duration took{};
+  };
+  // Asks the slices of the plan and puts their answers together. Throws ApiError.
+  Task<Found> execute(const search::SearchRequest& request, const opensearch::Plan& plan, const Call& call,
+                      const std::string& what, Caller& caller);
+  json::Object write_found(const search::SearchRequest& request, const opensearch::Plan& plan,
+                           Found& found) const;
+
+  // src/front/opensearch/cursor_calls.cpp
+  Task<Answer> scroll(Call& call, Caller& caller);
+  Task<Answer> clear_scroll(Call& call, Caller& caller);
+  Task<Answer> open_point(Call& call, Caller& caller);
+  Task<Answer> close_point(Call& call, Caller& caller);
+  Task<Answer> list_points(Call& call, Caller& caller);
+  Task<Answer> close_points(Call& call, Caller& caller);
+  search::Cursor open_cursor(const std::string& id, search::Cursor::Kind kind, const Call& call) const;
+  search::Cursor new_cursor(search::Cursor::Kind kind, const std::vector<search::Target>& targets,
+                            const Call& call, Duration keep_alive);
+  std::vector<search::Target> targets_of(const search::Cursor& cursor) const;
+  std::string seal(const search::Cursor& cursor) const;
+  void add_time_filters(const search::Cursor& cursor, opensearch::Plan& plan) const;
+
+  // src/front/opensearch/document_calls.cpp
+  Task<Answer> write_document(Call& call, Caller& caller);
+  Task<Answer> read_document(Call& call, Caller& caller);
+  Task<Answer> read_source(Call& call, Caller& caller);
+  Task<Answer> multi_get(Call& call, Caller& caller);
+  Task<Answer> refuse_change(Call& call, Caller& caller);
+  Task<Answer> bulk(Call& call, Caller& caller);
+  Task<Answer> take_bulk(Call& call, HttpBody& body, Caller& caller);
+  struct Write;
+  Task<Answer> write_one(const Write& write, const Call& call, Caller& caller);
+  Task<void> bulk_item(std::shared_ptr<Write> write, const Call& call, Caller& caller, json::Value& out,
+                       search::Fanout::Share& share, Mailbox<int>& done);
+  Task<json::Object> get_one(const std::string& index, const std::string& id, const std::string& routing,
+                             const json::Value& source, const json::Value& stored, const Call& call,
+                             Caller& caller);
+  Task<void> get_item(json::Value spec, const Call& call, Caller& caller, json::Value& out,
+                      Mailbox<int>& done);
+  Write read_write(const std::string& index, const std::string& id, const std::string& routing, bool create,
+                   std::string document, const std::string& key) const;
+
+  // src/front/opensearch/cluster_calls.cpp
+  Task<Answer> info(Call& call, Caller& caller);
+  Task<Answer> resolve_index(Call& call, Caller& caller);
+  Task<Answer> search_shards(Call& call, Caller& caller);
+  Task<Answer> get_index(Call& call, Caller& caller);
+  Task<Answer> get_alias(Call& call, Caller& caller);
+  Task<Answer> get_mapping(Call& call, Caller& caller);
+  Task<Answer> get_settings(Call& call, Caller& caller);
+  Task<Answer> field_caps(Call& call, Caller& caller);
+  Task<Answer> health(Call& call, Caller& caller);
+  Task<Answer> nodes(Call& call, Caller& caller);
+  Task<Answer> tasks(Call& call, Caller& caller);
+  Task<Answer> task(Call& call, Caller& caller);
+  Task<Answer> cancel_tasks(Call& call, Caller& caller);
+  Task<Answer> cat(Call& call, Caller& caller);
+  json::Object health_of(const std::vector<search::Target>& targets) const;
+  std::vector<NodeEntry> holders(int slice) const;
+
+  std::vector<search::Target> resolve(const std::string& expression,
+                                      const search::NameOptions& options) const;
+  const IndexContract& one_index(const std::string& name) const;
   Budgets::Permit permit(const Call& call, const std::string& class_name);
+  std::uint64_t next_number();
   std::string next_id();
 
   Scheduler& scheduler_;
@@ -86,8 +181,13 @@
   const FrontContract contract_;
   Budgets budgets_;
   const Limits limits_;
+  const search::SearchBounds bounds_;
   Metrics& metrics_;
   std::uint64_t ids_;
+  const search::CursorSeal seal_;
+  search::CursorBook cursors_;
+  search::Fanout fanout_;
+  search::TaskBook tasks_;
 };
 
 }  // namespace kelpdeal
--- a/include/kelpdeal/opensearch_transport.h
+++ b/include/kelpdeal/opensearch_transport.h
@@ -42,7 +42,8 @@
   Task<void> run(CallPtr call);
   Task<void> run_probe(NodeId node);
   Task<std::unique_ptr<Stream>> open(NodeId node);
-  Task<std::optional<http::Response>> read(Stream& stream, TimePoint deadline);
+  Task<std::optional<http::Response>> read(Stream& stream, TimePoint deadline, Call* call = nullptr);
+  bool take_items(Call& call, std::string piece);
   void start(NodeId node, std::vector<Attempt> parts, bool write);
   void finish(Call& call, Outcome outcome);
   bool finish(Call& call, const http::Response& response);
@@ -62,6 +63,7 @@
 // The request that carries the parts of one call, and what an answer to one of its parts means.
 http::Request write_node_request(const std::vector<Attempt>& parts, bool write, const std::string& host,
                                  TimePoint now);
-AttemptResult read_node_answer(int status, const json::Value& body);
+// `text` is the answer to one part, valid JSON; of a write, `write` is true.
+AttemptResult read_node_answer(int status, std::string_view text, bool write);
 
 }  // namespace kelpdeal
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -71,7 +71,8 @@
   order.resize(std::min(order.size(), most));
   std::vector<PartRequest> parts;
   for (const std::size_t i : order)
-    parts.push_back({first.parts[i].shard, 1.0 / static_cast<double>(order.size()), std::nullopt});
+    parts.push_back(
+        {first.parts[i].shard, 1.0 / static_cast<double>(order.size()), std::nullopt, first.parts[i].text});
   return parts;
 }
 
@@ -140,6 +141,7 @@
 void Broker::listed(const NodeList& list) {
   driver_->listed(list, list.complete ? cottonbay::ListKind::complete : cottonbay::ListKind::changes);
 }
+std::vector<NodeEntry> Broker::nodes() const { return driver_->nodes(); }
 void Broker::list_failed() { driver_->list_failed(); }
 
 Task<Reply> Broker::serve(QueryRequest request, Caller& caller) {
@@ -192,14 +194,18 @@
 
     if (const auto* send = std::get_if<SendChosen>(&*choice)) {
       if (send->step != step.number) continue;
-      Attempt attempt{send->attempt, request.id, request.class_name, request.key, request.text, 0,
-                      send->until,   second,     first_whole,        from};
+      Attempt attempt{
+          send->attempt,     request.id, request.class_name, request.key, request.text, 0, send->until,
+          request.operation, second,     first_whole,        from};
       attempt.shard = step.parts[send->part].shard;
+      if (const auto& text = step.parts[send->part].text) attempt.text = *text;
       driver_->dispatch(send->node, std::move(attempt));
 
     } else if (auto* in = std::get_if<PartIn>(&*choice)) {
       if (in->step != step.number) continue;  // guards against a first step's value in the second
       const std::size_t place = in->part;
+      if (request.sink)
+        request.sink->take(step.number, step.parts[place].shard, in->score, std::exchange(in->value, {}));
       step.in[place] = std::move(*in);
 
     } else if (const auto* answer = std::get_if<AnswerChosen>(&*choice)) {
@@ -220,7 +226,7 @@
       reply.whole = answer->whole;
       step.tell_missing(reply.missing);
       for (std::size_t i = 0; i < step.parts.size(); ++i)
-        if (step.in[i])
+        if (step.in[i] && !request.sink)
           reply.items.push_back({step.parts[i].shard, step.in[i]->score, std::move(step.in[i]->value)});
       metrics_.count(reply.whole ? "queries.answered" : "queries.answered_partial");
       co_return reply;
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include "driver.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace kelpdeal {
@@ -81,7 +82,7 @@
   e.expires_ms = to_ms(request.expires);
   e.repeat = request.repeat;
   e.parts = static_cast<int>(request.parts.size());
-  queries_[e.id] = {&choices, request.expires, 0, {}};
+  queries_[e.id] = {&choices, request.expires, 0, {}, request.sink};
   const RequestId id = e.id;
   tell(std::move(e));
   parts_arrived(id, request.parts, choices);
@@ -102,7 +103,7 @@
     e.hinted = parts[i].cost_hint.has_value();
     if (e.hinted) e.cost_hint_ms = FractionalMs(*parts[i].cost_hint).count();
     record.parts.push_back(e.id);
-    parts_[e.id] = {query, record.step, i, {}, false};
+    parts_[e.id] = {query, record.step, parts[i].shard, i, {}, false};
     tell(std::move(e));
   }
 }
@@ -120,6 +121,7 @@
   // Guards against work nobody wants any more: the module's cancels for a query that was withdrawn come with
   // its next turn, and need the parts' records to find the attempts.
   it->second.choices = nullptr;
+  it->second.sink = nullptr;
   leaving_.push_back(query);
 }
 
@@ -134,6 +136,7 @@
   for (const NodeEntry& node : list.nodes) {
     NodeRecord& record = nodes_[node.uid];
     if (record.id == 0) record.id = ++next_node_;
+    record.entry = node;
     const NodeId id = record.id;
     if (node.state == cottonbay::ServerState::removed)
       unlist(record);
@@ -160,6 +163,15 @@
   tell(std::move(e));
 }
 
+std::vector<NodeEntry> Driver::nodes() const {
+  std::vector<NodeEntry> listed;
+  for (const auto& [uid, record] : nodes_)
+    if (record.left == kNever) listed.push_back(record.entry);
+  std::sort(listed.begin(), listed.end(),
+            [](const NodeEntry& a, const NodeEntry& b) { return a.uid < b.uid; });
+  return listed;
+}
+
 void Driver::list_failed() {
   cottonbay::ServersListed e;
   e.kind = cottonbay::ListKind::failed;
@@ -170,22 +182,35 @@
   tell(cottonbay::ProbeEnded{node, outcome, FractionalMs(elapsed).count(), std::move(load)});
 }
 
-void Driver::attempt_ended(AttemptId attempt, AttemptResult result) { end_attempt(attempt, result); }
+void Driver::attempt_ended(AttemptId attempt, AttemptResult result) {
+  end_attempt(attempt, std::move(result));
+}
 
 // Every attempt the module has asked for ends here, exactly once.
-void Driver::end_attempt(AttemptId id, const AttemptResult& result) {
+void Driver::end_attempt(AttemptId id, AttemptResult result) {
   const auto it = attempts_.find(id);
   if (it == attempts_.end()) return;
   const AttemptRecord record = std::move(it->second);
   attempts_.erase(it);
-  metrics_.count(name_of(result.outcome));
   const auto part = parts_.find(record.part);
+  if (result.outcome == Outcome::ok && part != parts_.end() && !part->second.in) {
+    // Guards against an answer that could not be put together with the others: it counts as failed, and the
+    // module may ask another holder.
+    const auto query = queries_.find(part->second.query);
+    PartSink* sink = query == queries_.end() ? nullptr : query->second.sink;
+    if (sink && !sink->usable(part->second.step, part->second.shard, result.value)) {
+      metrics_.log("values", "a record node's value cannot be used for what was asked");
+      result.outcome = Outcome::error;
+    }
+  }
+  metrics_.count(name_of(result.outcome));
   const bool over = part == parts_.end() || part->second.in || result.outcome == Outcome::ok;
   tell(cottonbay::AttemptEnded{record.part, record.number, record.node, result.outcome,
                                FractionalMs(Clock::now() - record.sent).count(), over, result.load});
   if (result.outcome != Outcome::ok || part == parts_.end() || part->second.in) return;
   part->second.in = true;
-  choose(part->second.query, PartIn{part->second.step, part->second.place, result.score, result.value});
+  choose(part->second.query,
+         PartIn{part->second.step, part->second.place, result.score, std::move(result.value)});
 }
 
 // ---- turns ----
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -58,6 +58,7 @@
   void probe_ended(NodeId node, Outcome outcome, Duration elapsed, cottonbay::LoadReport load);
   void listed(const NodeList& list, cottonbay::ListKind kind);
   void list_failed();
+  std::vector<NodeEntry> nodes() const;
 
  private:
   struct QueryRecord {
@@ -65,10 +66,12 @@
     TimePoint expires;
     int step = 0;
     std::vector<RequestId> parts;
+    PartSink* sink = nullptr;
   };
   struct PartRecord {
     RequestId query = 0;
     int step = 0;
+    int shard = 0;
     std::size_t place = 0;
     std::vector<AttemptId> attempts;
     bool in = false;
@@ -85,7 +88,7 @@
   void guarded(void (Driver::*step)());
   void take_turn();
   void flush();
-  void end_attempt(AttemptId id, const AttemptResult& result);
+  void end_attempt(AttemptId id, AttemptResult result);
   void forget_parts(QueryRecord& record);
   void act(const cottonbay::Send& action);
   void act(const cottonbay::Cancel& action);
@@ -121,6 +124,7 @@
   struct NodeRecord {
     NodeId id = 0;
     TimePoint left = kNever;  // the list
+    NodeEntry entry;
   };
   std::unordered_map<std::string, NodeRecord> nodes_;  // by uid
   std::unordered_map<RequestId, QueryRecord> queries_;
--- a/src/config/contract.cpp
+++ b/src/config/contract.cpp
@@ -25,6 +25,29 @@
   index.slices = f.integer("slices", settings.shards - index.first_slice, 1);
   if (index.first_slice + index.slices > settings.shards)
     Fields::fail(f.path("slices"), "there are only " + std::to_string(settings.shards) + " slices");
+  if (name.empty() || name.find_first_of("*,/\\ <>#\"?|") != std::string::npos || name.starts_with('_') ||
+      name.starts_with('-') || name.starts_with('+'))
+    Fields::fail("indices." + name, "is no name of an index");
+  index.write_class = f.text("write_class", "");
+  if (!index.write_class.empty()) {
+    const cottonbay::ClassSettings* cls = find_class(settings, index.write_class);
+    if (!cls) Fields::fail(f.path("write_class"), "unknown class");
+    // Guards against a write that is sent again as if it were a search.
+    if (cls->effect == cottonbay::Effect::safe)
+      Fields::fail(f.path("write_class"),
+                   "is safe to repeat, so no node would tell a repeat from a new document");
+  }
+  index.hidden = f.flag("hidden", false);
+  index.time_field = f.text("time_field", "");
+  if (const json::Value* properties = f.find("mappings.properties")) index.properties = *properties;
+  if (const json::Value* shown = f.find("settings")) index.settings = *shown;
+  if (const json::Value* aliases = f.find("aliases")) {
+    if (!aliases->object()) Fields::fail(f.path("aliases"), "is not an object");
+    for (const auto& [alias, options] : *aliases->object()) {
+      const json::Value* filter = options.find("filter");
+      index.aliases.push_back({alias, filter ? *filter : json::Value()});
+    }
+  }
   return index;
 }
 
@@ -80,6 +103,11 @@
     front.indices.push_back(parse_index(name, value, settings));
   }
   if (front.indices.empty()) Fields::fail("indices", "lists no index");
+  for (const IndexContract& index : front.indices)
+    for (const IndexContract::Alias& alias : index.aliases)
+      if (std::any_of(front.indices.begin(), front.indices.end(),
+                      [&](const IndexContract& other) { return other.name == alias.name; }))
+        Fields::fail("indices." + index.name + ".aliases." + alias.name, "is the name of an index");
   for (const auto& [name, value] : members("teams")) front.teams.push_back(parse_team(name, value, settings));
   return front;
 }
@@ -95,7 +123,10 @@
     if (!found) Fields::fail(description, name + " has no x-kelpdeal-contracts");
     return *found;
   };
-  return parse_front_contract(file, agreements("openapi"), agreements("asyncapi"), settings);
+  FrontContract front = parse_front_contract(file, agreements("openapi"), agreements("asyncapi"), settings);
+  if (const std::string keys = Fields(file, "").text("cursor_keys", ""); !keys.empty())
+    front.cursor_keys = read_file(path.substr(0, path.rfind('/') + 1) + keys, "cursor_keys");
+  return front;
 }
 
 Budgets::Budgets(std::vector<TeamContract> teams) {
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -20,6 +20,7 @@
   while (auto stream = co_await listener_.accept()) {
     metrics_.count("clients.connections");
     connections_.emplace_back(std::move(stream), limits_.http);
+    connections_.back().parser.stop_at_head();
     scheduler_.spawn(converse(std::prev(connections_.end())));
     shed_idle();
     // Guards against more descriptors than we may hold: newcomers wait in the backlog until one is free.
@@ -104,11 +105,74 @@
   connections_.erase(place);
 }
 
+// As far as the bytes allow; stops at the head of a request whose body is streamed.
+http::State HttpServer::advance(Connection& connection) {
+  http::State state = connection.parser.advance();
+  if (state != http::State::head) return state;
+  const http::Request& head = connection.parser.message();
+  const HttpHandler::Reading reading = handler_.reading(head);
+  if (reading.most > 0) connection.parser.bound_body(reading.most);
+  connection.invite = head.headers.lists("expect", "100-continue");
+  return reading.streamed ? state : connection.parser.advance();
+}
+
+// The body of one request on its connection.
+class HttpServer::Streamed : public HttpBody {
+ public:
+  Streamed(HttpServer& server, Connection& connection) : server_(server), connection_(connection) {}
+  Task<std::optional<std::string>> next() override {
+    while (state_ == http::State::more) {
+      state_ = connection_.parser.advance();
+      if (std::string piece = connection_.parser.take_piece(); !piece.empty()) co_return piece;
+      if (state_ != http::State::more) break;
+      // Each piece has its time, not the body: it comes no faster than its items are dealt with.
+      const IoResult got =
+          co_await connection_.stream->read_some(server_.chunk_, Clock::now() + server_.limits_.client_read);
+      if (got.io != Io::ok) {
+        state_ = http::State::bad;
+        break;
+      }
+      connection_.parser.feed({server_.chunk_.data(), got.bytes});
+    }
+    co_return std::nullopt;
+  }
+  bool whole() const override { return state_ == http::State::done; }
+
+ private:
+  HttpServer& server_;
+  Connection& connection_;
+  http::State state_ = http::State::more;
+};
+
+// A request whose body is dealt with as it comes. False once the connection is to be closed.
+Task<bool> HttpServer::take_stream(Connection& connection, TimePoint received) {
+  http::Request head = connection.parser.message();
+  connection.closing = !head.keeps_alive();
+  if (std::exchange(connection.invite, false))
+    co_await connection.stream->write_all("HTTP/1.1 100 Continue\r\n\r\n",
+                                          Clock::now() + limits_.client_read);
+  Streamed body(*this, connection);
+  Caller caller;
+  connection.stream->on_hang_up([&caller] { caller.leave(); });
+  http::Response response = co_await handler_.stream(std::move(head), body, caller, received);
+  connection.stream->on_hang_up(nullptr);
+  if (caller.gone()) co_return false;
+  // What was not read of the body cannot be told from a next request.
+  if (body.whole())
+    connection.parser.take();
+  else
+    connection.closing = true;
+  co_await answer(connection, std::move(response));
+  if (connection.closing) co_return false;
+  connection.turn(Connection::State::idle);
+  co_return true;
+}
+
 // One request and its answer. False once the connection is to be closed.
 Task<bool> HttpServer::exchange(Connection& connection) {
   using State = Connection::State;
   const bool first = connection.state == State::silent;
-  http::State state = connection.parser.advance();
+  http::State state = advance(connection);
   TimePoint deadline =
       first ? connection.connected + limits_.client_first : Clock::now() + limits_.client_idle;
   TimePoint received = Clock::now();
@@ -127,9 +191,13 @@
     if (got.io != Io::ok) co_return false;
     received = Clock::now();
     connection.parser.feed({chunk_.data(), got.bytes});
-    state = connection.parser.advance();
+    state = advance(connection);
+    if (state == http::State::more && std::exchange(connection.invite, false))
+      co_await connection.stream->write_all("HTTP/1.1 100 Continue\r\n\r\n", deadline);
   }
   connection.turn(State::serving);
+  if (state == http::State::head) co_return co_await take_stream(connection, received);
+  connection.invite = false;
   if (state == http::State::bad) {
     metrics_.log("http", connection.parser.problem());
     connection.closing = true;
--- /dev/null
+++ b/src/front/opensearch/call.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: MIT
+// One call of the search API, as routed.
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "kelpdeal/opensearch_front.h"
+
+namespace kelpdeal {
+namespace opensearch {
+
+struct Call {
+  const http::Request& http;
+  TimePoint received;
+  std::string pattern, index, id, name, team, opaque;
+  search::Parameters parameters{};
+  // Whatever was not asked for by now is unknown.
+  void check_parameters() const { parameters.check(http.path()); }
+};
+
+// The body as JSON, or null if there is none. Throws ApiError.
+json::Value read_body(Call& call, const json::Bounds& bounds);
+std::int64_t wall_ms();
+// "a,b" or ["a","b"] to "a,b".
+std::string joined(const json::Value& value);
+// Writes Raw values out and reads them again, so that all can be looked at.
+json::Value plain(const json::Value& value);
+
+// Tells `inner` when the client leaves, for as long as this lives.
+class Linked {
+ public:
+  Linked(Caller& client, Caller& inner) : client_(client) {
+    client_.on_leave = [&inner] { inner.leave(); };
+    if (client_.gone()) inner.leave();
+  }
+  ~Linked() { client_.on_leave = nullptr; }
+  Linked(const Linked&) = delete;
+  Linked& operator=(const Linked&) = delete;
+
+ private:
+  Caller& client_;
+};
+
+}  // namespace opensearch
+
+struct OpenSearchFront::Handler {
+  opensearch::Route route;
+  Method method;
+};
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/front/opensearch/cluster_calls.cpp
@@ -0,0 +1,605 @@
+// SPDX-License-Identifier: MIT
+// What clients and operators look at: names, mappings, nodes, tasks, the _cat pages.
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <set>
+
+#include "call.h"
+
+namespace kelpdeal {
+
+using namespace opensearch;
+using search::illegal;
+
+namespace {
+
+constexpr const char* kCluster = "kelpdeal";
+
+bool serves(const NodeEntry& node) { return node.state == cottonbay::ServerState::serving; }
+
+// Names as in "a,b*": true if one of them matches, or none is given.
+bool among(const std::string& names, const std::string& name) {
+  if (names.empty() || names == "_all" || names == "*") return true;
+  for (std::size_t at = 0; at <= names.size();) {
+    const std::size_t end = std::min(names.find(',', at), names.size());
+    if (search::matches(std::string_view(names).substr(at, end - at), name)) return true;
+    at = end + 1;
+  }
+  return false;
+}
+
+std::string decimal(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", value);
+  return text;
+}
+
+// A page of _cat: columns by name, in their usual order.
+struct Table {
+  std::vector<std::string> columns;
+  std::vector<std::vector<std::string>> rows;
+};
+
+std::vector<std::string> split(const std::string& text) {
+  std::vector<std::string> words;
+  for (std::size_t at = 0; at <= text.size();) {
+    const std::size_t end = std::min(text.find(',', at), text.size());
+    words.push_back(text.substr(at, end - at));
+    at = end + 1;
+  }
+  return words;
+}
+
+bool is_number(const std::string& text) {
+  return !text.empty() && text.find_first_not_of("0123456789.") == std::string::npos;
+}
+
+void sort_rows(Table& table, const std::string& by) {
+  for (const std::string& word : [&] {
+         std::vector<std::string> words = split(by);
+         std::reverse(words.begin(), words.end());  // the first counts most
+         return words;
+       }()) {
+    const std::size_t colon = word.find(':');
+    const std::string name = word.substr(0, colon),
+                      way = colon == std::string::npos ? "asc" : word.substr(colon + 1);
+    const auto column = std::find(table.columns.begin(), table.columns.end(), name);
+    if (column == table.columns.end())
+      illegal("Unable to sort by unknown sort key `" + search::shortened(name, 40) + "`");
+    if (way != "asc" && way != "desc") illegal("Unable to sort by [" + search::shortened(way, 40) + "]");
+    const auto i = static_cast<std::size_t>(column - table.columns.begin());
+    std::stable_sort(table.rows.begin(), table.rows.end(), [&](const auto& a, const auto& b) {
+      const bool numbers = is_number(a[i]) && is_number(b[i]);
+      const int order = numbers ? (std::stod(a[i]) < std::stod(b[i]) ? -1 : std::stod(b[i]) < std::stod(a[i]))
+                                : a[i].compare(b[i]);
+      return way == "desc" ? order > 0 : order < 0;
+    });
+  }
+}
+
+Answer write_table(Table table, Call& call) {
+  const auto columns = call.parameters.get("h"), sort = call.parameters.get("s");
+  const bool heads = call.parameters.flag("v").value_or(false),
+             help = call.parameters.flag("help").value_or(false);
+  const std::string format = call.parameters.get("format").value_or("text");
+  call.parameters.accept(
+      "bytes time local master_timeout cluster_manager_timeout health pri include_unloaded_segments");
+  call.check_parameters();
+  if (format != "text" && format != "json") illegal("[format] is neither text nor json");
+  std::string out;
+  if (help) {
+    for (const std::string& column : table.columns) out += column + " |\n";
+    return {200, {}, {}, out};
+  }
+  if (sort) sort_rows(table, *sort);
+  std::vector<std::size_t> shown;
+  for (std::size_t i = 0; i < table.columns.size(); ++i)
+    if (!columns) shown.push_back(i);
+  if (columns)
+    for (const std::string& name : split(*columns))
+      for (std::size_t i = 0; i < table.columns.size(); ++i)
+        if (search::matches(name, table.columns[i])) shown.push_back(i);
+  if (format == "json") {
+    json::Array rows;
+    for (const auto& row : table.rows) {
+      json::Object one;
+      for (const std::size_t i : shown) one.emplace_back(table.columns[i], row[i]);
+      rows.emplace_back(std::move(one));
+    }
+    return {200, std::move(rows), {}, {}};
+  }
+  if (heads) table.rows.insert(table.rows.begin(), table.columns);
+  std::map<std::size_t, std::size_t> widths;
+  for (const auto& row : table.rows)
+    for (const std::size_t i : shown) widths[i] = std::max(widths[i], row[i].size());
+  for (const auto& row : table.rows) {
+    std::string line;
+    for (const std::size_t i : shown) line += row[i] + std::string(widths[i] - row[i].size() + 1, ' ');
+    while (line.ends_with(' ')) line.pop_back();
+    out += line + "\n";
+  }
+  return {200, {}, {}, out};
+}
+
+json::Object aliases_of(const IndexContract& index, const std::string& names) {
+  json::Object aliases;
+  for (const IndexContract::Alias& alias : index.aliases) {
+    if (!among(names, alias.name)) continue;
+    json::Object options;
+    if (!alias.filter.is_null()) options.emplace_back("filter", alias.filter);
+    aliases.emplace_back(alias.name, std::move(options));
+  }
+  return aliases;
+}
+
+json::Object mappings_of(const IndexContract& index) {
+  if (index.properties.is_null()) return {};
+  return json::Object{{"properties", index.properties}};
+}
+
+json::Object settings_of(const IndexContract& index, int copies) {
+  json::Object settings{{"number_of_shards", std::to_string(index.slices)},
+                        {"number_of_replicas", std::to_string(copies - 1)},
+                        {"provided_name", index.name}};
+  if (index.hidden) settings.emplace_back("hidden", "true");
+  if (const json::Object* shown = index.settings.object())
+    settings.insert(settings.end(), shown->begin(), shown->end());
+  return json::Object{{"index", std::move(settings)}};
+}
+
+void collect_fields(const json::Value& properties, const std::string& prefix,
+                    std::map<std::string, std::string>& fields) {
+  if (!properties.object()) return;
+  for (const auto& [name, field] : *properties.object()) {
+    const std::string path = prefix.empty() ? name : prefix + "." + name;
+    const json::Value* inner = field.find("properties");
+    fields[path] = field.text_or("type", inner ? "object" : "");
+    if (inner) collect_fields(*inner, path, fields);
+    if (const json::Value* forms = field.find("fields")) collect_fields(*forms, path, fields);
+  }
+}
+
+json::Object task_of(std::uint64_t id, const search::TaskBook::Entry& entry) {
+  json::Object headers;
+  if (!entry.opaque.empty()) headers.emplace_back("X-Opaque-Id", entry.opaque);
+  json::Object task{
+      {"node", kCluster},
+      {"id", id},
+      {"type", "transport"},
+      {"action", entry.action},
+      {"description", entry.what},
+      {"start_time_in_millis",
+       std::chrono::duration_cast<Milliseconds>(entry.begun_wall.time_since_epoch()).count()},
+      {"running_time_in_nanos",
+       std::chrono::duration_cast<std::chrono::nanoseconds>(Clock::now() - entry.begun).count()},
+      {"cancellable", static_cast<bool>(entry.cancel)},
+      {"cancelled", entry.cancelled},
+      {"headers", std::move(headers)}};
+  return task;
+}
+
+// "kelpdeal:17" to 17.
+std::uint64_t task_number(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) illegal("malformed task id " + search::shortened(text, 40));
+  return search::read_count(text.substr(colon + 1), "task_id", 1'000'000'000'000'000);
+}
+
+}  // namespace
+
+Task<Answer> OpenSearchFront::info(Call& call, Caller&) {
+  call.check_parameters();
+  co_return Answer{200,
+                   json::Object{{"name", kCluster},
+                                {"cluster_name", kCluster},
+                                {"cluster_uuid", kCluster},
+                                {"version", json::Object{{"distribution", "opensearch"},
+                                                         {"number", contract_.version},
+                                                         {"build_flavor", kCluster},
+                                                         {"minimum_wire_compatibility_version", "7.10.0"},
+                                                         {"minimum_index_compatibility_version", "7.0.0"}}},
+                                {"tagline", "The OpenSearch-style API of kelpdeal, a broker"}},
+                   {},
+                   {}};
+}
+
+Task<Answer> OpenSearchFront::resolve_index(Call& call, Caller&) {
+  search::NameOptions names = search::read_name_options(call.parameters);
+  call.check_parameters();
+  json::Array indices, aliases;
+  std::map<std::string, json::Array> by_alias;
+  for (const search::Target& target : resolve(call.name, names)) {
+    const IndexContract& index = *target.index;
+    json::Array own;
+    for (const IndexContract::Alias& alias : index.aliases) own.emplace_back(alias.name);
+    json::Array attributes{"open"};
+    if (index.hidden) attributes.emplace_back("hidden");
+    json::Object one{{"name", index.name}};
+    if (!own.empty()) one.emplace_back("aliases", std::move(own));
+    one.emplace_back("attributes", std::move(attributes));
+    indices.emplace_back(std::move(one));
+  }
+  for (const IndexContract& index : contract_.indices)
+    for (const IndexContract::Alias& alias : index.aliases)
+      if (among(call.name, alias.name)) by_alias[alias.name].emplace_back(index.name);
+  for (auto& [name, list] : by_alias)
+    aliases.push_back(json::Object{{"name", name}, {"indices", std::move(list)}});
+  co_return Answer{
+      200,
+      json::Object{
+          {"indices", std::move(indices)}, {"aliases", std::move(aliases)}, {"data_streams", json::Array{}}},
+      {},
+      {}};
+}
+
+// The nodes that hold a slice, as the register places them.
+std::vector<NodeEntry> OpenSearchFront::holders(int slice) const {
+  const cottonbay::Settings& settings = broker_.settings();
+  std::vector<NodeEntry> found;
+  if (settings.cells <= 0) return found;
+  for (const NodeEntry& node : broker_.nodes())
+    for (int i = 0; i < settings.reach; ++i)
+      if (node.cell == (slice + i) % settings.cells) found.push_back(node);
+  return found;
+}
+
+Task<Answer> OpenSearchFront::search_shards(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  const std::string routing = call.parameters.get("routing").value_or("");
+  call.parameters.accept("preference local");
+  call.check_parameters();
+  const Plan plan = make_plan(resolve(call.index, names), routing);
+  json::Object nodes, indices;
+  json::Array shards;
+  std::set<std::string> seen;
+  for (const search::Target& target : plan.targets) {
+    json::Object one;
+    if (!target.filters.empty()) one.emplace_back("filter", target.filters.front());
+    indices.emplace_back(target.index->name, std::move(one));
+  }
+  for (const Plan::Part& part : plan.parts) {
+    json::Array copies;
+    for (const NodeEntry& node : holders(part.slice)) {
+      copies.push_back(json::Object{{"state", serves(node) ? "STARTED" : "RELOCATING"},
+                                    {"primary", copies.empty()},
+                                    {"node", node.uid},
+                                    {"relocating_node", json::Value()},
+                                    {"shard", part.slice},
+                                    {"index", plan.index_of(part.slice)}});
+      if (seen.insert(node.uid).second)
+        nodes.emplace_back(node.uid, json::Object{{"name", node.uid},
+                                                  {"transport_address", node.endpoint},
+                                                  {"attributes", json::Object{{"zone", node.zone}}}});
+    }
+    shards.emplace_back(std::move(copies));
+  }
+  co_return Answer{
+      200,
+      json::Object{
+          {"nodes", std::move(nodes)}, {"indices", std::move(indices)}, {"shards", std::move(shards)}},
+      {},
+      {}};
+}
+
+Task<Answer> OpenSearchFront::get_index(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  call.parameters.accept("local include_defaults flat_settings master_timeout cluster_manager_timeout");
+  call.check_parameters();
+  json::Object found;
+  for (const search::Target& target : resolve(call.index, names))
+    found.emplace_back(target.index->name,
+                       json::Object{{"aliases", aliases_of(*target.index, "")},
+                                    {"mappings", mappings_of(*target.index)},
+                                    {"settings", settings_of(*target.index, broker_.settings().reach)}});
+  if (found.empty() && call.http.method == "HEAD") co_return Answer{404, {}, {}, {}};
+  co_return Answer{200, std::move(found), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::get_alias(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  call.parameters.accept("local");
+  call.check_parameters();
+  json::Object found;
+  bool any = false;
+  for (const search::Target& target : resolve(call.index, names)) {
+    json::Object aliases = aliases_of(*target.index, call.name);
+    any |= !aliases.empty();
+    if (call.name.empty() || !aliases.empty())
+      found.emplace_back(target.index->name, json::Object{{"aliases", std::move(aliases)}});
+  }
+  if (!call.name.empty() && !any && call.name.find('*') == std::string::npos) {
+    const std::string reason = "alias [" + search::shortened(call.name) + "] missing";
+    co_return Answer{404, json::Object{{"error", reason}, {"status", 404}}, {}, {}};
+  }
+  co_return Answer{200, std::move(found), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::get_mapping(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  call.parameters.accept("local master_timeout cluster_manager_timeout");
+  call.check_parameters();
+  json::Object found;
+  for (const search::Target& target : resolve(call.index, names))
+    found.emplace_back(target.index->name, json::Object{{"mappings", mappings_of(*target.index)}});
+  co_return Answer{200, std::move(found), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::get_settings(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  call.parameters.accept("local include_defaults flat_settings master_timeout cluster_manager_timeout");
+  call.check_parameters();
+  json::Object found;
+  for (const search::Target& target : resolve(call.index, names))
+    found.emplace_back(target.index->name,
+                       json::Object{{"settings", settings_of(*target.index, broker_.settings().reach)}});
+  co_return Answer{200, std::move(found), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::field_caps(Call& call, Caller&) {
+  const json::Value body = read_body(call, limits_.json);
+  std::string fields = call.parameters.get("fields").value_or("");
+  if (const json::Value* given = body.find("fields"); given && fields.empty()) fields = joined(*given);
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  const bool unmapped = call.parameters.flag("include_unmapped").value_or(false);
+  call.check_parameters();
+  if (fields.empty())
+    throw ApiError{
+        400, "action_request_validation_exception", "Validation Failed: 1: no fields specified;", {}, {}};
+  const std::vector<search::Target> targets = resolve(call.index, names);
+  json::Array indices;
+  // By field, then by type, the indices that have it so.
+  std::map<std::string, std::map<std::string, std::vector<std::string>>> found;
+  for (const search::Target& target : targets) {
+    indices.emplace_back(target.index->name);
+    std::map<std::string, std::string> own;
+    collect_fields(target.index->properties, "", own);
+    for (const auto& [field, type] : own)
+      if (among(fields, field)) found[field][type].push_back(target.index->name);
+  }
+  json::Object out;
+  for (const auto& [field, types] : found) {
+    std::size_t having = 0;
+    for (const auto& [type, list] : types) having += list.size();
+    json::Object by_type;
+    for (const auto& [type, list] : types) {
+      const bool object = type == "object" || type == "nested", text = type == "text";
+      json::Object caps{{"type", type}, {"searchable", !object}, {"aggregatable", !object && !text}};
+      if (types.size() > 1) caps.emplace_back("indices", json::Array(list.begin(), list.end()));
+      by_type.emplace_back(type, std::move(caps));
+    }
+    if (unmapped && having < targets.size())
+      by_type.emplace_back(
+          "unmapped", json::Object{{"type", "unmapped"}, {"searchable", false}, {"aggregatable", false}});
+    out.emplace_back(field, std::move(by_type));
+  }
+  co_return Answer{200, json::Object{{"indices", std::move(indices)}, {"fields", std::move(out)}}, {}, {}};
+}
+
+// Green: every slice has all its holders; yellow: each has one; red: one has none.
+json::Object OpenSearchFront::health_of(const std::vector<search::Target>& targets) const {
+  const auto copies = static_cast<std::size_t>(std::max(broker_.settings().reach, 1));
+  std::size_t slices = 0, active = 0, lost = 0;
+  std::set<int> seen;
+  for (const search::Target& target : targets)
+    for (int i = 0; i < target.index->slices; ++i) {
+      const int slice = target.index->first_slice + i;
+      if (!seen.insert(slice).second) continue;
+      const std::vector<NodeEntry> nodes = holders(slice);
+      const auto sound = static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), serves));
+      ++slices;
+      active += std::min(sound, copies);
+      lost += sound == 0;
+    }
+  const std::size_t wanted = slices * copies;
+  const std::vector<NodeEntry> nodes = broker_.nodes();
+  const auto serving = static_cast<std::uint64_t>(std::count_if(nodes.begin(), nodes.end(), serves));
+  return {{"cluster_name", kCluster},
+          {"status", lost > 0          ? "red"
+                     : active < wanted ? "yellow"
+                                       : "green"},
+          {"timed_out", false},
+          {"number_of_nodes", static_cast<std::uint64_t>(nodes.size())},
+          {"number_of_data_nodes", serving},
+          {"active_primary_shards", static_cast<std::uint64_t>(slices - lost)},
+          {"active_shards", static_cast<std::uint64_t>(active)},
+          {"relocating_shards", 0},
+          {"initializing_shards", 0},
+          {"unassigned_shards", static_cast<std::uint64_t>(wanted - std::min(active, wanted))},
+          {"number_of_pending_tasks", 0},
+          {"active_shards_percent_as_number",
+           wanted ? 100.0 * static_cast<double>(active) / static_cast<double>(wanted) : 100.0}};
+}
+
+Task<Answer> OpenSearchFront::health(Call& call, Caller&) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  const std::string wanted = call.parameters.get("wait_for_status").value_or("");
+  const auto timeout = call.parameters.get("timeout");
+  call.parameters.accept("level local master_timeout cluster_manager_timeout");
+  call.check_parameters();
+  static constexpr std::string_view grades[] = {"green", "yellow", "red"};
+  const auto grade = [&](std::string_view status) {
+    return std::find(std::begin(grades), std::end(grades), status) - std::begin(grades);
+  };
+  if (!wanted.empty() && grade(wanted) == 3)
+    illegal("unknown cluster health status [" + search::shortened(wanted, 40) + "]");
+  const std::vector<search::Target> targets = resolve(call.index, names);
+  Duration span = std::chrono::seconds(30);
+  if (timeout) span = std::min(search::parse_time(*timeout, "timeout").value_or(span), span);
+  const TimePoint until = call.received + span;
+  json::Object health = health_of(targets);
+  while (!wanted.empty() && grade(*json::Value(health).find("status")->string()) > grade(wanted)) {
+    if (Clock::now() >= until) {
+      for (json::Member& member : health)
+        if (member.first == "timed_out") member.second = true;
+      co_return Answer{408, std::move(health), {}, {}};
+    }
+    co_await scheduler_.sleep_until(std::min(until, Clock::now() + Milliseconds(50)));
+    health = health_of(targets);
+  }
+  co_return Answer{200, std::move(health), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::nodes(Call& call, Caller&) {
+  call.parameters.accept("flat_settings timeout");
+  call.check_parameters();
+  json::Object listed;
+  for (const NodeEntry& node : broker_.nodes())
+    listed.emplace_back(
+        node.uid,
+        json::Object{{"name", node.uid},
+                     {"transport_address", node.endpoint},
+                     {"roles", json::Array{"data"}},
+                     {"attributes", json::Object{{"zone", node.zone},
+                                                 {"kind", node.kind},
+                                                 {"cell", std::to_string(node.cell)},
+                                                 {"state", serves(node) ? "serving" : "draining"}}}});
+  const auto count = static_cast<std::uint64_t>(listed.size());
+  co_return Answer{
+      200,
+      json::Object{{"_nodes", json::Object{{"total", count}, {"successful", count}, {"failed", 0}}},
+                   {"cluster_name", kCluster},
+                   {"nodes", std::move(listed)}},
+      {},
+      {}};
+}
+
+Task<Answer> OpenSearchFront::tasks(Call& call, Caller&) {
+  const std::string actions = call.parameters.get("actions").value_or("");
+  call.parameters.accept("detailed group_by nodes parent_task_id wait_for_completion timeout");
+  call.check_parameters();
+  json::Object listed;
+  for (const auto& [id, entry] : tasks_.of(call.team))
+    if (among(actions, entry->action))
+      listed.emplace_back(kCluster + (":" + std::to_string(id)), task_of(id, *entry));
+  co_return Answer{
+      200,
+      json::Object{{"nodes", json::Object{{kCluster,
+                                           json::Object{{"name", kCluster}, {"tasks", std::move(listed)}}}}}},
+      {},
+      {}};
+}
+
+Task<Answer> OpenSearchFront::task(Call& call, Caller&) {
+  call.parameters.accept("wait_for_completion timeout");
+  call.check_parameters();
+  const std::uint64_t id = task_number(call.id);
+  const search::TaskBook::Entry* entry = tasks_.find(id, call.team);
+  if (!entry)
+    throw ApiError{
+        404,
+        "resource_not_found_exception",
+        "task [" + search::shortened(call.id, 40) + "] isn't running and hasn't stored its results",
+        {},
+        {}};
+  co_return Answer{200, json::Object{{"completed", false}, {"task", task_of(id, *entry)}}, {}, {}};
+}
+
+Task<Answer> OpenSearchFront::cancel_tasks(Call& call, Caller&) {
+  const std::string actions = call.parameters.get("actions").value_or("");
+  call.parameters.accept("nodes parent_task_id wait_for_completion");
+  call.check_parameters();
+  std::vector<std::uint64_t> ids;
+  if (!call.id.empty()) {
+    ids.push_back(task_number(call.id));
+    const search::TaskBook::Entry* entry = tasks_.find(ids.front(), call.team);
+    if (!entry)
+      throw ApiError{404,
+                     "resource_not_found_exception",
+                     "task [" + search::shortened(call.id, 40) + "] is not found",
+                     {},
+                     {}};
+    if (!entry->cancel) illegal("task [" + search::shortened(call.id, 40) + "] doesn't support cancellation");
+  } else {
+    for (const auto& [id, entry] : tasks_.of(call.team))
+      if (entry->cancel && among(actions, entry->action)) ids.push_back(id);
+  }
+  json::Object cancelled;
+  for (const std::uint64_t id : ids)
+    if (const search::TaskBook::Entry* entry = tasks_.find(id, call.team)) {
+      cancelled.emplace_back(kCluster + (":" + std::to_string(id)), task_of(id, *entry));
+      tasks_.cancel(id, call.team);
+    }
+  co_return Answer{
+      200,
+      json::Object{{"nodes", json::Object{{kCluster, json::Object{{"name", kCluster},
+                                                                  {"tasks", std::move(cancelled)}}}}}},
+      {},
+      {}};
+}
+
+Task<Answer> OpenSearchFront::cat(Call& call, Caller& caller) {
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  const std::string page = call.pattern.substr(6, call.pattern.find('/', 6) - 6);
+  Table table;
+  if (page == "health") {
+    const json::Value health = health_of(resolve("", names));
+    const auto text = [&](const char* name) {
+      const json::Value* value = health.find(name);
+      return value->string() ? *value->string() : json::write(*value);
+    };
+    table.columns = {"epoch",  "cluster", "status",   "node.total",           "node.data",
+                     "shards", "pri",     "unassign", "active_shards_percent"};
+    table.rows.push_back({std::to_string(wall_ms() / 1000), kCluster, text("status"), text("number_of_nodes"),
+                          text("number_of_data_nodes"), text("active_shards"), text("active_primary_shards"),
+                          text("unassigned_shards"),
+                          decimal(health.number_or("active_shards_percent_as_number", 0)) + "%"});
+  } else if (page == "indices") {
+    table.columns = {"health", "status", "index", "pri", "rep", "class"};
+    for (const search::Target& target : resolve(call.index, names))
+      table.rows.push_back({*json::Value(health_of({target})).find("status")->string(), "open",
+                            target.index->name, std::to_string(target.index->slices),
+                            std::to_string(broker_.settings().reach - 1), target.index->class_name});
+  } else if (page == "shards") {
+    table.columns = {"index", "shard", "prirep", "state", "ip", "node"};
+    for (const search::Target& target : resolve(call.index, names))
+      for (int slice = target.index->first_slice; slice < target.index->first_slice + target.index->slices;
+           ++slice) {
+        bool first = true;
+        for (const NodeEntry& node : holders(slice))
+          table.rows.push_back({target.index->name, std::to_string(slice),
+                                std::exchange(first, false) ? "p" : "r",
+                                serves(node) ? "STARTED" : "RELOCATING",
+                                node.endpoint.substr(0, node.endpoint.find(':')), node.uid});
+      }
+  } else if (page == "nodes") {
+    table.columns = {"ip", "node.role", "zone", "cell", "state", "name"};
+    for (const NodeEntry& node : broker_.nodes())
+      table.rows.push_back({node.endpoint.substr(0, node.endpoint.find(':')), "d", node.zone,
+                            std::to_string(node.cell), serves(node) ? "serving" : "draining", node.uid});
+  } else if (page == "aliases") {
+    table.columns = {"alias", "index", "filter"};
+    for (const IndexContract& index : contract_.indices)
+      for (const IndexContract::Alias& alias : index.aliases)
+        if (among(call.name, alias.name))
+          table.rows.push_back({alias.name, index.name, alias.filter.is_null() ? "-" : "*"});
+  } else if (page == "tasks") {
+    table.columns = {"action", "task_id", "type", "start_time", "running_time", "node"};
+    for (const auto& [id, entry] : tasks_.of(call.team))
+      table.rows.push_back(
+          {entry->action, kCluster + (":" + std::to_string(id)), "transport",
+           std::to_string(
+               std::chrono::duration_cast<Milliseconds>(entry->begun_wall.time_since_epoch()).count()),
+           std::to_string(std::chrono::duration_cast<Milliseconds>(Clock::now() - entry->begun).count()) +
+               "ms",
+           kCluster});
+  } else {
+    table.columns = {"epoch", "timestamp", "count"};
+    search::Parameters none;
+    const search::SearchRequest request =
+        search::read_search(json::Object{{"size", 0}, {"track_total_hits", true}}, none, bounds_);
+    std::vector<search::Target> targets = resolve(call.index, names);
+    std::erase_if(targets, [&](const search::Target& target) {  // those that cannot be counted
+      return call.index.empty() &&
+             (target.index->class_name != contract_.indices.front().class_name ||
+              broker_.find_class(target.index->class_name)->effect != cottonbay::Effect::safe);
+    });
+    const Plan plan = make_plan(std::move(targets), "");
+    const Found found = co_await execute(request, plan, call, call.index, caller);
+    table.rows.push_back(
+        {std::to_string(wall_ms() / 1000), std::to_string(wall_ms()), std::to_string(found.page.counted)});
+  }
+  co_return write_table(std::move(table), call);
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/front/opensearch/cursor_calls.cpp
@@ -0,0 +1,313 @@
+// SPDX-License-Identifier: MIT
+// Scrolls and points in time.
+#include <algorithm>
+
+#include "call.h"
+
+namespace kelpdeal {
+
+using namespace opensearch;
+using search::Cursor;
+using search::illegal;
+using search::WallClock;
+
+namespace {
+
+constexpr const char* kMissing = "search_context_missing_exception";
+
+[[noreturn]] void missing(const std::string& what) { throw ApiError{404, kMissing, what, {}, {}}; }
+
+// The ids of a body or a path: one, or a list of them.
+std::vector<std::string> ids_of(const json::Value& body, const char* name, const std::string& in_path) {
+  std::vector<std::string> ids;
+  const auto add = [&](const std::string& text) {
+    for (std::size_t at = 0; at <= text.size();) {
+      const std::size_t end = std::min(text.find(',', at), text.size());
+      if (end > at) ids.push_back(text.substr(at, end - at));
+      at = end + 1;
+    }
+  };
+  add(in_path);
+  if (const json::Value* given = body.find(name)) {
+    if (given->string()) add(*given->string());
+    if (given->array())
+      for (const json::Value& one : *given->array())
+        if (one.string()) add(*one.string());
+  }
+  return ids;
+}
+
+}  // namespace
+
+std::string OpenSearchFront::seal(const Cursor& cursor) const {
+  std::string id = seal_.seal(json::write(search::write_cursor(cursor)));
+  if (id.size() > limits_.cursor_bytes)
+    illegal("the search is too large for a cursor: its id would hold " + std::to_string(id.size()) +
+            " bytes, " + std::to_string(limits_.cursor_bytes) + " are the most");
+  return id;
+}
+
+Cursor OpenSearchFront::open_cursor(const std::string& id, Cursor::Kind kind, const Call& call) const {
+  const auto payload = id.size() > limits_.cursor_bytes ? std::nullopt : seal_.open(id);
+  if (!payload)
+    illegal(kind == Cursor::Kind::scroll ? "Cannot parse scroll id"
+                                         : "invalid id: [" + search::shortened(id, 40) + "]");
+  std::string error;
+  const auto value = json::parse(*payload, error, limits_.json);
+  std::optional<Cursor> cursor;
+  if (value) cursor = search::read_cursor(*value);
+  if (!cursor || cursor->kind != kind)
+    illegal(kind == Cursor::Kind::scroll ? "Cannot parse scroll id" : "invalid id: it is no point in time");
+  if (cursor->team != call.team)
+    throw ApiError{403, "security_exception", "the cursor belongs to another team", {}, {}};
+  if (cursor->expires <= WallClock::now())
+    missing("No search context found for id [" + std::to_string(cursor->number) + "]: it has expired");
+  return std::move(*cursor);
+}
+
+Cursor OpenSearchFront::new_cursor(Cursor::Kind kind, const std::vector<search::Target>& targets,
+                                   const Call& call, Duration keep_alive) {
+  Cursor cursor;
+  cursor.kind = kind;
+  cursor.number = next_number();
+  cursor.team = call.team;
+  cursor.opened = WallClock::now();
+  cursor.expires = cursor.opened + std::chrono::duration_cast<WallClock::duration>(keep_alive);
+  for (const search::Target& target : targets) {
+    cursor.indices.push_back(target.index->name);
+    json::Value filter;
+    if (target.filters.size() == 1) filter = target.filters.front();
+    if (target.filters.size() > 1)
+      filter = json::Object{
+          {"bool", json::Object{{"should", json::Array(target.filters.begin(), target.filters.end())}}}};
+    cursor.filters.push_back(std::move(filter));
+  }
+  if (!cursors_.open(cursor, cursor.opened))
+    throw ApiError{429,
+                   "rejected_execution_exception",
+                   "Trying to create too many scroll contexts. Must be less than or equal to: [" +
+                       std::to_string(limits_.cursors_of_team) + "]",
+                   {},
+                   std::chrono::seconds(1)};
+  return cursor;
+}
+
+std::vector<search::Target> OpenSearchFront::targets_of(const Cursor& cursor) const {
+  std::vector<search::Target> targets;
+  for (std::size_t i = 0; i < cursor.indices.size(); ++i) {
+    const auto index = std::find_if(contract_.indices.begin(), contract_.indices.end(),
+                                    [&](const IndexContract& one) { return one.name == cursor.indices[i]; });
+    if (index == contract_.indices.end())
+      throw ApiError{404,
+                     "index_not_found_exception",
+                     "no such index [" + cursor.indices[i] + "]",
+                     cursor.indices[i],
+                     {}};
+    search::Target target{&*index, {}};
+    if (!cursor.filters[i].is_null()) target.filters.push_back(cursor.filters[i]);
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+// What was recorded after a cursor was opened is not in it, where an index says when that was.
+void OpenSearchFront::add_time_filters(const Cursor& cursor, Plan& plan) const {
+  const auto opened = std::chrono::duration_cast<Milliseconds>(cursor.opened.time_since_epoch()).count();
+  for (const search::Target& target : plan.targets) {
+    const IndexContract& index = *target.index;
+    if (index.time_field.empty()) continue;
+    for (Plan::Part& part : plan.parts)
+      if (part.slice >= index.first_slice && part.slice < index.first_slice + index.slices)
+        part.filters.push_back(json::Object{
+            {"range",
+             json::Object{{index.time_field, json::Object{{"lte", opened}, {"format", "epoch_millis"}}}}}});
+  }
+}
+
+Task<Answer> OpenSearchFront::scroll(Call& call, Caller& caller) {
+  const json::Value body = read_body(call, limits_.json);
+  const std::string keep_alive = call.parameters.get("scroll").value_or(body.text_or("scroll", ""));
+  const std::vector<std::string> ids =
+      ids_of(body, "scroll_id", call.id.empty() ? call.parameters.get("scroll_id").value_or("") : call.id);
+  const auto as_number = call.parameters.flag("rest_total_hits_as_int");
+  call.check_parameters();
+  if (body.object())
+    for (const auto& [name, value] : *body.object())
+      if (name != "scroll" && name != "scroll_id")
+        illegal("Unknown parameter [" + search::shortened(name, 40) +
+                "] in request body or parameter is of the wrong type");
+  if (ids.size() != 1)
+    throw ApiError{
+        400, "action_request_validation_exception", "Validation Failed: 1: scrollId is missing;", {}, {}};
+  Cursor cursor = open_cursor(ids.front(), Cursor::Kind::scroll, call);
+  const WallClock::time_point now = WallClock::now();
+  if (!keep_alive.empty()) {
+    const auto span = search::parse_time(keep_alive, "scroll");
+    if (!span || *span > bounds_.most_keep_alive || *span <= Duration::zero())
+      illegal("Keep alive for request is out of range");
+    cursor.expires = std::max(cursor.expires, now + std::chrono::duration_cast<WallClock::duration>(*span));
+  }
+  if (!cursors_.renew(cursor, now))
+    missing("No search context found for id [" + std::to_string(cursor.number) + "]: it was cleared");
+
+  // The search as it was, from where the cursor stands.
+  search::Parameters parameters;
+  parameters.set("scroll", "1m");
+  if (cursor.typed_keys) parameters.set("typed_keys", "true");
+  search::SearchRequest request = search::read_search(cursor.search, parameters, bounds_);
+  request.total_as_number = as_number.value_or(cursor.total_as_number);
+  Plan plan = make_plan(targets_of(cursor), cursor.routing);
+  add_time_filters(cursor, plan);
+  if (request.partition) {
+    std::vector<Plan::Part> kept;
+    for (const search::PartitionPart& part :
+         search::partition(request.partition->first, request.partition->second, plan.parts.size())) {
+      kept.push_back(plan.parts[part.place]);
+      kept.back().partition = part.part;
+    }
+    plan.parts = std::move(kept);
+  }
+  const std::size_t all = plan.parts.size();
+  std::vector<int> slices;
+  for (const Plan::Part& part : plan.parts) slices.push_back(part.slice);
+  const auto needed = search::slices_needed(cursor, slices);
+  std::vector<Plan::Part> parts;
+  for (const auto& [slice, after] : needed)
+    for (Plan::Part& part : plan.parts)
+      if (part.slice == slice) {
+        part.after = after;
+        parts.push_back(part);
+      }
+  plan.parts = std::move(parts);
+  const std::vector<int> none;
+  // The positions that the parts point to are the cursor's; it moves only once they are answered.
+  Found found = co_await execute(request, plan, call, "scroll", caller);
+  found.page.total = request.total_as_number
+                         ? json::Value(cursor.total)
+                         : json::Value(json::Object{{"value", cursor.total}, {"relation", "eq"}});
+  if (request.shown_keys == 0 && cursor.max_score) found.page.max_score = *cursor.max_score;
+  search::advance(cursor, request.sort, found.page, found.asked, found.reply.missing);
+  json::Object answer{{"_scroll_id", seal(cursor)}};
+  for (json::Member& member : write_found(request, plan, found)) answer.push_back(std::move(member));
+  for (json::Member& member : answer)
+    if (member.first == "_shards")
+      for (json::Member& figure : *member.second.object()) {
+        // Slices that have given all they have count as those that answered.
+        if (figure.first == "total") figure.second = static_cast<std::uint64_t>(all);
+        if (figure.first == "successful")
+          figure.second = static_cast<std::uint64_t>(all - found.reply.missing.size());
+      }
+  co_return Answer{200, std::move(answer), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::clear_scroll(Call& call, Caller&) {
+  const json::Value body = read_body(call, limits_.json);
+  call.check_parameters();
+  const std::vector<std::string> ids = ids_of(body, "scroll_id", call.id);
+  if (ids.empty())
+    throw ApiError{
+        400, "action_request_validation_exception", "Validation Failed: 1: no scroll ids specified;", {}, {}};
+  const WallClock::time_point now = WallClock::now();
+  std::size_t freed = 0;
+  if (ids.size() == 1 && ids.front() == "_all") {
+    freed = cursors_.clear_all(call.team, Cursor::Kind::scroll, now);
+    co_return Answer{
+        200, json::Object{{"succeeded", true}, {"num_freed", static_cast<std::uint64_t>(freed)}}, {}, {}};
+  }
+  // All are read before any is cleared.
+  std::vector<Cursor> cursors;
+  for (const std::string& id : ids) {
+    try {
+      cursors.push_back(open_cursor(id, Cursor::Kind::scroll, call));
+    } catch (const ApiError& error) {
+      if (error.status != 404) throw;
+    }
+  }
+  for (const Cursor& cursor : cursors) freed += cursors_.clear(cursor, now);
+  co_return Answer{freed ? 200 : 404,
+                   json::Object{{"succeeded", true}, {"num_freed", static_cast<std::uint64_t>(freed)}},
+                   {},
+                   {}};
+}
+
+Task<Answer> OpenSearchFront::open_point(Call& call, Caller&) {
+  const auto keep_alive = call.parameters.get("keep_alive");
+  const std::string routing = call.parameters.get("routing").value_or("");
+  const search::NameOptions names = search::read_name_options(call.parameters);
+  call.parameters.accept("preference allow_partial_pit_creation");
+  call.check_parameters();
+  if (!keep_alive || keep_alive->empty())
+    throw ApiError{400,
+                   "action_request_validation_exception",
+                   "Validation Failed: 1: keep alive not specified;",
+                   {},
+                   {}};
+  const auto span = search::parse_time(*keep_alive, "keep_alive");
+  if (!span || *span <= Duration::zero() || *span > bounds_.most_keep_alive)
+    illegal("Keep alive for request is out of range");
+  const std::vector<search::Target> targets = resolve(call.index, names);
+  const Plan plan = make_plan(targets, routing);  // what cannot be searched is no point in time
+  if (!plan.class_name.empty() && broker_.find_class(plan.class_name)->effect != cottonbay::Effect::safe)
+    illegal("index [" + targets.front().index->name + "] takes documents, not searches");
+  Cursor cursor = new_cursor(Cursor::Kind::point, targets, call, *span);
+  cursor.routing = routing;
+  const auto count = static_cast<std::uint64_t>(plan.parts.size());
+  const auto opened = std::chrono::duration_cast<Milliseconds>(cursor.opened.time_since_epoch()).count();
+  co_return Answer{
+      200,
+      json::Object{
+          {"pit_id", seal(cursor)},
+          {"_shards", json::Object{{"total", count}, {"successful", count}, {"skipped", 0}, {"failed", 0}}},
+          {"creation_time", opened}},
+      {},
+      {}};
+}
+
+Task<Answer> OpenSearchFront::close_point(Call& call, Caller&) {
+  const json::Value body = read_body(call, limits_.json);
+  call.check_parameters();
+  const std::vector<std::string> ids = ids_of(body, "pit_id", "");
+  if (ids.empty())
+    throw ApiError{
+        400, "action_request_validation_exception", "Validation Failed: 1: no pit ids specified;", {}, {}};
+  json::Array pits;
+  std::vector<std::pair<std::string, std::optional<Cursor>>> read;
+  for (const std::string& id : ids) {
+    read.emplace_back(id, std::nullopt);
+    try {
+      read.back().second = open_cursor(id, Cursor::Kind::point, call);
+    } catch (const ApiError& error) {
+      if (error.status != 404) throw;
+    }
+  }
+  for (auto& [id, cursor] : read)
+    pits.push_back(
+        json::Object{{"successful", !cursor || cursors_.clear(*cursor, WallClock::now())}, {"pit_id", id}});
+  co_return Answer{200, json::Object{{"pits", std::move(pits)}}, {}, {}};
+}
+
+Task<Answer> OpenSearchFront::list_points(Call& call, Caller&) {
+  call.check_parameters();
+  const WallClock::time_point now = WallClock::now();
+  json::Array pits;
+  for (const auto& [number, entry] : cursors_.of(call.team, Cursor::Kind::point, now)) {
+    const auto ms = [](auto span) { return std::chrono::duration_cast<Milliseconds>(span).count(); };
+    // Ids are not kept: they are their holders'.
+    pits.push_back(json::Object{{"pit_id", std::to_string(number)},
+                                {"creation_time", ms(entry.opened.time_since_epoch())},
+                                {"keep_alive", ms(entry.expires - now)}});
+  }
+  co_return Answer{200, json::Object{{"pits", std::move(pits)}}, {}, {}};
+}
+
+Task<Answer> OpenSearchFront::close_points(Call& call, Caller&) {
+  call.check_parameters();
+  const WallClock::time_point now = WallClock::now();
+  json::Array pits;
+  for (const auto& [number, entry] : cursors_.of(call.team, Cursor::Kind::point, now))
+    pits.push_back(json::Object{{"successful", true}, {"pit_id", std::to_string(number)}});
+  cursors_.clear_all(call.team, Cursor::Kind::point, now);
+  co_return Answer{200, json::Object{{"pits", std::move(pits)}}, {}, {}};
+}
+
+}  // namespace kelpdeal
--- /dev/null
+++ b/src/front/opensearch/document_calls.cpp
@@ -0,0 +1,516 @@
+// SPDX-License-Identifier: MIT
+// Documents: one or many, written and read.
+#include <algorithm>
+
+#include "call.h"
+
+namespace kelpdeal {
+
+using namespace opensearch;
+using search::illegal;
+
+// One document to be written.
+struct OpenSearchFront::Write {
+  const IndexContract* index = nullptr;
+  std::string class_name, id, routing, key, document;
+  bool create = false;
+  bool operation = false;  // the node is told what to do in a line before the document
+  std::optional<Duration> timeout;
+  std::string name;     // of a bulk's item
+  std::string problem;  // why it cannot be done
+};
+
+OpenSearchFront::Write OpenSearchFront::read_write(const std::string& index_name, const std::string& id,
+                                                   const std::string& routing, bool create,
+                                                   std::string document, const std::string& key) const {
+  Write write;
+  write.index = &one_index(index_name);
+  const IndexContract& index = *write.index;
+  write.operation = !index.write_class.empty();
+  write.class_name = write.operation ? index.write_class : index.class_name;
+  if (broker_.find_class(write.class_name)->effect == cottonbay::Effect::safe)
+    illegal("index [" + index.name + "] takes searches, not documents");
+  write.id = id;
+  write.create = create;
+  write.routing = routing;
+  write.document = std::move(document);
+  if (!key.empty() && (key.size() > 64 || key.find_first_of(" ,=+\n") != std::string::npos))
+    throw ApiError{400, "action_request_validation_exception", "Idempotency-Key is malformed", {}, {}};
+  if (write.operation) {
+    write.key = search::write_key(key, index.name, id, write.document);
+  } else {
+    // Such a node knows a document by its key alone.
+    write.key = key.empty() ? id : key;
+    if (write.key.empty() || write.key.size() > 64 || write.key.find_first_of(" ,=+\n") != std::string::npos)
+      throw ApiError{400,
+                     "action_request_validation_exception",
+                     "Idempotency-Key is missing or malformed, and the path names no id",
+                     {},
+                     {}};
+    if (write.id.empty()) write.id = write.key;
+  }
+  return write;
+}
+
+Task<Answer> OpenSearchFront::write_one(const Write& write, const Call& call, Caller& caller) {
+  const IndexContract& index = *write.index;
+  const cottonbay::ClassSettings* cls = broker_.find_class(write.class_name);
+  const Budgets::Permit held = permit(call, write.class_name);
+  QueryRequest query;
+  query.id = next_id();
+  query.key = write.key;
+  query.class_name = write.class_name;
+  query.operation = write.operation;
+  if (write.operation) {
+    json::Object options{{"_index", index.name}, {"_id", write.id}};
+    if (!write.routing.empty()) options.emplace_back("routing", write.routing);
+    const bool one_line = write.document.find('\n') == std::string::npos;
+    std::string error;
+    query.text = json::write(json::Object{{write.create ? "create" : "index", std::move(options)}}) + "\n" +
+                 (one_line ? write.document
+                           : json::write(json::parse(write.document, error).value_or(json::Object{}))) +
+                 "\n";
+  } else {
+    query.text = write.document;
+  }
+  const Duration whole = to_duration(FractionalMs(cls->deadline_ms));
+  const Duration budget = std::min(whole, write.timeout.value_or(whole));
+  query.expires = call.received + budget - std::min(limits_.answer_margin, budget);
+  const int slice = slice_of(index, write.routing.empty() ? write.id : write.routing);
+  query.parts.push_back({slice, 1.0, std::nullopt});
+  const Reply reply = co_await broker_.serve(std::move(query), caller);
+
+  const search::ItemEnd end =
+      search::item_end(reply.kind == Reply::Kind::answered, reply.kind == Reply::Kind::refused,
+                       reply.kind == Reply::Kind::rejected);
+  if (end.kind == search::ItemEnd::Kind::refused)
+    throw ApiError{
+        429,
+        end.type,
+        "refused: " + reply.why,
+        {},
+        reply.retry_after > Duration::zero() ? reply.retry_after : Duration(std::chrono::seconds(1))};
+  if (end.kind == search::ItemEnd::Kind::rejected)
+    throw ApiError{409, "illegal_argument_exception", "rejected: " + reply.why, {}, {}};
+  if (end.kind == search::ItemEnd::Kind::unknown)
+    throw ApiError{504,
+                   "timeout_exception",
+                   "no answer in time; the document may have been recorded: repeat it under the same key",
+                   index.name,
+                   {}};
+  json::Object answer{{"_index", index.name}, {"_id", write.id}};
+  int status = 201;
+  std::string result = "created";
+  // What the node made of it, where it says so: an update of a document that was there, a conflict.
+  std::string error;
+  const auto told =
+      reply.items.empty() ? std::nullopt : json::parse(reply.items.front().value, error, limits_.json);
+  if (write.operation && told && told->object()) {
+    status = static_cast<int>(told->number_or("status", 201));
+    if (const json::Value* problem = told->find("error"); problem && status >= 400)
+      throw ApiError{status,
+                     problem->text_or("type", "exception"),
+                     problem->text_or("reason", "the node refused the document"),
+                     index.name,
+                     {}};
+    result = told->text_or("result", status == 200 ? "updated" : "created");
+    for (const char* name : {"_version", "_seq_no", "_primary_term"})
+      if (const json::Value* value = told->find(name)) answer.emplace_back(name, *value);
+  }
+  answer.emplace_back("result", result);
+  answer.emplace_back("_shards", json::Object{{"total", 1}, {"successful", 1}, {"failed", 0}});
+  co_return Answer{status, std::move(answer), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::write_document(Call& call, Caller& caller) {
+  const std::string* key = call.http.headers.find("Idempotency-Key");
+  const std::string routing = call.parameters.get("routing").value_or("");
+  const auto timeout = call.parameters.get("timeout");
+  const std::string op = call.parameters.get("op_type").value_or("index");
+  if (op != "index" && op != "create")
+    illegal("opType must be 'create' or 'index', found: [" + search::shortened(op, 40) + "]");
+  if (const auto refresh = call.parameters.get("refresh"); refresh && *refresh != "false")
+    illegal("[refresh] is not taken: when a document can be found is the nodes' business");
+  call.parameters.accept("wait_for_active_shards require_alias");
+  call.check_parameters();
+  const bool create = call.pattern.find("_create") != std::string::npos || op == "create";
+  const IndexContract& index = one_index(call.index);
+  std::string id = call.id;
+  if (id.empty() && !index.write_class.empty()) id = next_id();
+  if (id.size() > 512) illegal("id is too long, must be no longer than 512 bytes");
+  Write write = read_write(call.index, id, routing, create, call.http.body, key ? *key : "");
+  std::string error;
+  const auto document = json::parse(call.http.body, error, limits_.json);
+  if (!document || !document->object())
+    throw ApiError{
+        400, "mapper_parsing_exception", document ? "the document is not an object" : error, {}, {}};
+  if (timeout) write.timeout = search::parse_time(*timeout, "timeout");
+  co_return co_await write_one(write, call, caller);
+}
+
+Task<Answer> OpenSearchFront::refuse_change(Call& call, Caller&) {
+  one_index(call.index);
+  illegal("documents are recorded, not " +
+          std::string(call.http.method == "DELETE" ? "deleted" : "updated in place") + ": record a new one");
+  co_return Answer{};
+}
+
+// ---- reading ----
+Task<json::Object> OpenSearchFront::get_one(const std::string& index_name, const std::string& id,
+                                            const std::string& routing, const json::Value& source,
+                                            const json::Value& stored, const Call& call, Caller& caller) {
+  const IndexContract& index = one_index(index_name);
+  json::Object body{{"query", json::Object{{"ids", json::Object{{"values", json::Array{id}}}}}},
+                    {"size", 1},
+                    {"version", true},
+                    {"seq_no_primary_term", true},
+                    {"track_total_hits", false}};
+  if (!source.is_null()) body.emplace_back("_source", source);
+  if (!stored.is_null()) body.emplace_back("stored_fields", stored);
+  search::Parameters none;
+  const search::SearchRequest request = search::read_search(body, none, bounds_);
+  const Plan plan = make_plan({search::Target{&index, {}}}, routing.empty() ? id : routing);
+  const Found found = co_await execute(request, plan, call, index.name, caller);
+  json::Object out{{"_index", index.name}, {"_id", id}};
+  if (found.page.hits.empty()) {
+    out.emplace_back("found", false);
+    co_return out;
+  }
+  json::Walk walk(found.page.hits.front().raw()->text);
+  for (const char* name : {"_version", "_seq_no", "_primary_term"})
+    if (const auto value = json::member(found.page.hits.front().raw()->text, name))
+      out.emplace_back(name, json::Raw{std::string(*value)});
+  if (!routing.empty()) out.emplace_back("_routing", routing);
+  out.emplace_back("found", true);
+  for (const char* name : {"_source", "fields"})
+    if (const auto value = json::member(found.page.hits.front().raw()->text, name))
+      out.emplace_back(name, json::Raw{std::string(*value)});
+  co_return out;
+}
+
+namespace {
+
+json::Value list_of(const std::string& text) {
+  json::Array list;
+  for (std::size_t at = 0; at <= text.size();) {
+    const std::size_t end = std::min(text.find(',', at), text.size());
+    list.emplace_back(text.substr(at, end - at));
+    at = end + 1;
+  }
+  return list;
+}
+
+// What of a document is shown, as the path says.
+json::Value source_of(search::Parameters& parameters) {
+  json::Value source;
+  if (const auto given = parameters.get("_source"))
+    source = *given == "true" || given->empty() ? json::Value(true)
+             : *given == "false"                ? json::Value(false)
+                                                : list_of(*given);
+  const auto includes = parameters.get("_source_includes"), excludes = parameters.get("_source_excludes");
+  if (!includes && !excludes) return source;
+  json::Object both;
+  if (includes) both.emplace_back("includes", list_of(*includes));
+  if (excludes) both.emplace_back("excludes", list_of(*excludes));
+  return both;
+}
+
+}  // namespace
+
+Task<Answer> OpenSearchFront::read_document(Call& call, Caller& caller) {
+  const json::Value source = source_of(call.parameters);
+  const auto stored = call.parameters.get("stored_fields");
+  const std::string routing = call.parameters.get("routing").value_or("");
+  call.parameters.accept("preference realtime refresh version version_type");
+  call.check_parameters();
+  json::Object found = co_await get_one(call.index, call.id, routing, source,
+                                        stored ? list_of(*stored) : json::Value(), call, caller);
+  const bool there = json::Value(found).flag_or("found", false);
+  co_return Answer{there ? 200 : 404, std::move(found), {}, {}};
+}
+
+Task<Answer> OpenSearchFront::read_source(Call& call, Caller& caller) {
+  const json::Value source = source_of(call.parameters);
+  const std::string routing = call.parameters.get("routing").value_or("");
+  call.parameters.accept("preference realtime refresh version version_type");
+  call.check_parameters();
+  const json::Value found = co_await get_one(call.index, call.id, routing, source, {}, call, caller);
+  const json::Value* document = found.find("_source");
+  if (!document)
+    throw ApiError{
+        404,
+        "resource_not_found_exception",
+        "Document not found [" + search::shortened(call.index) + "]/[" + search::shortened(call.id) + "]",
+        {},
+        {}};
+  co_return Answer{200, *document, {}, {}};
+}
+
+Task<void> OpenSearchFront::get_item(json::Value spec, const Call& call, Caller& caller, json::Value& out,
+                                     Mailbox<int>& done) {
+  const std::string index = spec.text_or("_index", call.index), id = spec.text_or("_id", "");
+  try {
+    Call one{call.http, Clock::now(), call.pattern, index, id, {}, call.team, call.opaque};
+    const std::string routing = spec.text_or("routing", spec.text_or("_routing", ""));
+    const json::Value* source = spec.find("_source");
+    const json::Value* stored = spec.find("stored_fields");
+    out = co_await get_one(index, id, routing, source ? *source : json::Value(),
+                           stored ? *stored : json::Value(), one, caller);
+  } catch (const ApiError& error) {
+    json::Object failed{{"_index", index}, {"_id", id}};
+    const json::Value body = error_body(error);
+    failed.emplace_back("error", *body.find("error"));
+    if (error.status == 429) failed.emplace_back("status", 429);
+    out = std::move(failed);
+  }
+  done.put(1);
+}
+
+Task<Answer> OpenSearchFront::multi_get(Call& call, Caller& caller) {
+  const json::Value body = read_body(call, limits_.json);
+  const json::Value source = source_of(call.parameters);
+  const std::string routing = call.parameters.get("routing").value_or("");
+  const auto stored = call.parameters.get("stored_fields");
+  call.parameters.accept("preference realtime refresh");
+  call.check_parameters();
+  const json::Value *docs = body.find("docs"), *ids = body.find("ids");
+  std::vector<json::Value> specs;
+  const auto add = [&](json::Object spec) {
+    const json::Value given = spec;
+    if (call.index.empty() && !given.find("_index"))
+      throw ApiError{400,
+                     "action_request_validation_exception",
+                     "Validation Failed: 1: index is missing for doc " + std::to_string(specs.size()) + ";",
+                     {},
+                     {}};
+    if (given.text_or("_id", "").empty())
+      throw ApiError{400,
+                     "action_request_validation_exception",
+                     "Validation Failed: 1: id is missing for doc " + std::to_string(specs.size()) + ";",
+                     {},
+                     {}};
+    if (!given.find("_source") && !source.is_null()) spec.emplace_back("_source", source);
+    if (!given.find("stored_fields") && stored) spec.emplace_back("stored_fields", list_of(*stored));
+    if (!given.find("routing") && !given.find("_routing") && !routing.empty())
+      spec.emplace_back("routing", routing);
+    specs.emplace_back(std::move(spec));
+  };
+  if (docs && docs->array())
+    for (const json::Value& doc : *docs->array()) add(doc.object() ? *doc.object() : json::Object{});
+  if (ids && ids->array())
+    for (const json::Value& id : *ids->array()) add({{"_id", id.string() ? *id.string() : json::write(id)}});
+  if (specs.empty())
+    throw ApiError{
+        400, "action_request_validation_exception", "Validation Failed: 1: no documents to get;", {}, {}};
+  if (specs.size() > limits_.documents)
+    illegal("more than " + std::to_string(limits_.documents) + " documents in one multi-get");
+
+  std::vector<Caller> callers(specs.size());
+  json::Array out(specs.size());
+  Mailbox<int> done(scheduler_);
+  Caller whole;
+  const Linked linked(caller, whole);
+  whole.on_leave = [&callers] {
+    for (Caller& each : callers) each.leave();
+  };
+  if (whole.gone()) whole.on_leave();
+  search::Fanout::Share share(fanout_, 0);
+  for (std::size_t next = 0, ended = 0; ended < specs.size();) {
+    while (next < specs.size() && (share.may_start() || whole.gone())) {
+      share.started();
+      scheduler_.spawn(get_item(specs[next], call, callers[next], out[next], done));
+      ++next;
+    }
+    if (!co_await done.take(Clock::now() + Milliseconds(20))) continue;
+    share.ended();
+    ++ended;
+  }
+  co_return Answer{200, json::Object{{"docs", std::move(out)}}, {}, {}};
+}
+
+// ---- bulk ----
+Task<void> OpenSearchFront::bulk_item(std::shared_ptr<Write> write, const Call& call, Caller& caller,
+                                      json::Value& out, search::Fanout::Share& share, Mailbox<int>& done) {
+  json::Object item;
+  try {
+    Call one{call.http, Clock::now(), call.pattern, {}, {}, {}, call.team, call.opaque};
+    Answer answer = co_await write_one(*write, one, caller);
+    item = std::move(*answer.body.object());
+    item.emplace_back("status", answer.status);
+    share.went_through();
+  } catch (const ApiError& error) {
+    item = {{"_index", write->index->name}, {"_id", write->id}, {"status", error.status}};
+    json::Object cause{{"type", error.type}, {"reason", error.reason}};
+    if (error.retry_after > Duration::zero())
+      cause.emplace_back("retry_after_ms", std::chrono::ceil<Milliseconds>(error.retry_after).count());
+    item.emplace_back("error", std::move(cause));
+    if (error.status == 429) share.refused(Clock::now(), error.retry_after);
+  }
+  out = json::Object{{write->name, std::move(item)}};
+  done.put(1);
+}
+
+Task<Answer> OpenSearchFront::bulk(Call&, Caller&) {
+  illegal("a bulk has a body");  // bulks come by stream()
+  co_return Answer{};
+}
+
+// Items start as their lines come in, and no more is read than may be open: what is held is bounded by Limits
+// whatever the bulk's length.
+Task<Answer> OpenSearchFront::take_bulk(Call& call, HttpBody& body, Caller& caller) {
+  const std::string routing = call.parameters.get("routing").value_or("");
+  const auto timeout_text = call.parameters.get("timeout");
+  if (const auto refresh = call.parameters.get("refresh"); refresh && *refresh != "false")
+    illegal("[refresh] is not taken: when a document can be found is the nodes' business");
+  if (const auto pipeline = call.parameters.get("pipeline"); pipeline && *pipeline != "_none")
+    illegal("[pipeline] is not taken: pipelines are not known here");
+  call.parameters.accept("wait_for_active_shards require_alias _source _source_includes _source_excludes");
+  call.check_parameters();
+  if (!call.index.empty()) one_index(call.index);
+  std::optional<Duration> timeout;
+  if (timeout_text) timeout = search::parse_time(*timeout_text, "timeout");
+  const std::string* header = call.http.headers.find("Idempotency-Key");
+
+  search::Lines lines(limits_.bulk_line);
+  search::BulkReader reader(call.index, limits_.json);
+  std::deque<json::Value> items;  // a place never moves once an item is to write there
+  std::deque<Caller> callers;
+  Mailbox<int> done(scheduler_);
+  Caller whole;
+  const Linked linked(caller, whole);
+  whole.on_leave = [&callers] {
+    for (Caller& each : callers) each.leave();
+  };
+  search::TaskBook::Entry entry;
+  entry.action = "indices:data/write/bulk";
+  entry.what = "bulk";
+  entry.team = call.team;
+  entry.opaque = call.opaque;
+  entry.begun = Clock::now();
+  entry.begun_wall = std::chrono::system_clock::now();
+  const search::TaskBook::Running running(tasks_, std::move(entry));
+  search::Fanout::Share share(fanout_, 0);
+  std::optional<ApiError> broken;
+  bool more = true;
+  const auto refuse_item = [&](const search::BulkItem& item, const ApiError& error) {
+    json::Object cause{{"type", error.type}, {"reason", error.reason}};
+    if (error.retry_after > Duration::zero())
+      cause.emplace_back("retry_after_ms", std::chrono::ceil<Milliseconds>(error.retry_after).count());
+    items.push_back(json::Object{
+        {item.name(), json::Object{{"_index", item.index},
+                                   {"_id", item.id.empty() ? json::Value() : json::Value(item.id)},
+                                   {"status", error.status},
+                                   {"error", std::move(cause)}}}});
+  };
+  while (more && !broken && !whole.gone()) {
+    std::optional<std::string> piece = co_await body.next();
+    if (piece)
+      lines.feed(*piece);
+    else {
+      more = false;
+      // Guards against half an item, which a client that broke off never meant.
+      if (!body.whole()) break;
+      lines.end();
+    }
+    while (!broken) {
+      const std::optional<std::string> line = lines.next();
+      if (!line) break;
+      std::optional<search::BulkItem> item;
+      try {
+        item = reader.line(*line);
+      } catch (const ApiError& error) {
+        broken = error;
+        break;
+      }
+      if (!item) continue;
+      if (items.size() >= limits_.bulk_items) {
+        refuse_item(*item, {429,
+                            "rejected_execution_exception",
+                            "a bulk holds at most " + std::to_string(limits_.bulk_items) +
+                                " items: send this one again",
+                            {},
+                            std::chrono::seconds(1)});
+        if (items.size() >= 4 * limits_.bulk_items)
+          broken = ApiError{413, "content_too_long_exception", "far too many items in one bulk", {}, {}};
+        continue;
+      }
+      if (!item->problem.empty()) {
+        refuse_item(*item, {400, "illegal_argument_exception", item->problem, {}, {}});
+        continue;
+      }
+      if (item->action == search::BulkItem::Action::update ||
+          item->action == search::BulkItem::Action::erase) {
+        refuse_item(
+            *item,
+            {400, "illegal_argument_exception", "documents are recorded, not updated or deleted", {}, {}});
+        continue;
+      }
+      // Until it may start, nothing more is read.
+      while (!share.may_start() && !whole.gone())
+        if (co_await done.take(Clock::now() + Milliseconds(20))) share.ended();
+      if (const Duration advice = share.hopeless_for(Clock::now()); advice > Duration::zero()) {
+        refuse_item(*item, {429, "rejected_execution_exception", "refused: overload", {}, advice});
+        continue;
+      }
+      auto write = std::make_shared<Write>();
+      try {
+        const IndexContract& index = one_index(item->index);
+        if (item->id.empty() && !index.write_class.empty()) item->id = next_id();
+        // The header names the whole bulk: each item has a key of its own under it.
+        *write = read_write(item->index, item->id, item->routing.empty() ? routing : item->routing,
+                            item->action == search::BulkItem::Action::create, std::move(item->document),
+                            header ? search::write_key(*header, "", std::to_string(items.size()), "") : "");
+      } catch (const ApiError& error) {
+        refuse_item(*item, error);
+        continue;
+      }
+      write->name = item->name();
+      write->timeout = timeout;
+      items.emplace_back();
+      callers.emplace_back();
+      if (whole.gone()) callers.back().leave();
+      share.started();
+      scheduler_.spawn(bulk_item(std::move(write), call, callers.back(), items.back(), share, done));
+    }
+    if (lines.too_long())
+      broken = ApiError{413,
+                        "content_too_long_exception",
+                        "a line of the bulk is longer than " + std::to_string(limits_.bulk_line) + " bytes",
+                        {},
+                        {}};
+  }
+  while (share.open() > 0) {
+    co_await done.take();
+    share.ended();
+  }
+  if (!broken && reader.midway() && body.whole())
+    broken =
+        ApiError{400,
+                 "illegal_argument_exception",
+                 "The bulk request must be terminated by a newline, and its last action needs a document",
+                 {},
+                 {}};
+  // Before the first item a broken bulk is an error; behind it the client has to learn what became of those.
+  if (broken && items.empty()) throw *broken;
+  if (!broken && items.empty()) search::illegal("request body is required");
+  bool errors = broken.has_value();
+  if (broken) {
+    search::BulkItem last;
+    refuse_item(last, *broken);
+  }
+  json::Array out;
+  for (json::Value& item : items) {
+    if (const json::Value& body_of = item.object()->front().second; body_of.number_or("status", 0) >= 300)
+      errors = true;
+    out.push_back(std::move(item));
+  }
+  co_return Answer{
+      200,
+      json::Object{{"took", std::chrono::duration_cast<Milliseconds>(Clock::now() - call.received).count()},
+                   {"errors", errors},
+                   {"items", std::move(out)}},
+      {},
+      {}};
+}
+
+}  // namespace kelpdeal
--- a/src/front/opensearch/opensearch_api.cpp
+++ b/src/front/opensearch/opensearch_api.cpp
@@ -1,24 +1,14 @@
 // SPDX-License-Identifier: MIT
-// The API's terms: errors, times, index expressions, the shape of a search's answer.
+// The API's terms: errors, plans of searches, small readers.
 #include <algorithm>
-#include <charconv>
-#include <set>
+#include <map>
 
-#include "kelpdeal/opensearch_front.h"
+#include "call.h"
+#include "kelpdeal/search/filter_path.h"
 
 namespace kelpdeal::opensearch {
 namespace {
 
-bool matches(std::string_view pattern, std::string_view name) {
-  const std::size_t star = pattern.find('*');
-  if (star == std::string_view::npos) return pattern == name;
-  if (name.substr(0, star) != pattern.substr(0, star)) return false;
-  pattern.remove_prefix(star + 1);
-  for (std::size_t at = star; at <= name.size(); ++at)
-    if (matches(pattern, name.substr(at))) return true;
-  return false;
-}
-
 const char* type_of(int status) {
   switch (status) {
     case 408:
@@ -31,63 +21,21 @@
   }
 }
 
-struct Hit {
-  double score = 0;
-  json::Value value;
-};
-
-// The hits that one part brought: a list of hits in the API's form, or else one value.
-void add_hits(const std::string& index, const Reply::Item& item, std::vector<Hit>& hits) {
-  std::string error;
-  const auto value = json::parse(item.value, error);
-  if (value && value->array()) {
-    for (const json::Value& hit : *value->array()) {
-      const json::Value* score = hit.find("_score");
-      hits.push_back({score && score->number() ? *score->number() : item.score, hit});
-    }
-    return;
-  }
-  hits.push_back({item.score, json::Object{{"_index", index},
-                                           {"_shard", item.shard},
-                                           {"_score", item.score},
-                                           {"_source", json::Object{{"body", item.value}}}}});
-}
-
-// The index of a search that a slice belongs to.
-std::string index_of(const Search& search, int slice) {
-  for (const IndexContract* index : search.indices)
-    if (slice >= index->first_slice && slice < index->first_slice + index->slices) return index->name;
-  return {};
-}
-
-json::Value shards(const Search& search, const Reply& reply) {
-  json::Array failures;
-  const std::set<int> missing(reply.missing.begin(), reply.missing.end());
-  for (const int slice : missing)
-    failures.push_back(json::Object{{"shard", slice},
-                                    {"index", index_of(search, slice)},
-                                    {"node", json::Value()},
-                                    {"reason", json::Object{{"type", "timeout_exception"},
-                                                            {"reason", "no answer of this shard in time"}}}});
-  const std::size_t total = reply.asked.size();
-  json::Object out{{"total", static_cast<std::uint64_t>(total)},
-                   {"successful", static_cast<std::uint64_t>(total - missing.size())},
-                   {"skipped", 0},
-                   {"failed", static_cast<std::uint64_t>(missing.size())}};
-  if (!failures.empty()) out.emplace_back("failures", std::move(failures));
-  return out;
-}
-
 }  // namespace
 
 json::Value error_body(const ApiError& error) {
-  json::Object cause{{"type", error.type}, {"reason", error.reason}};
+  json::Object cause{{"type", error.type.empty() ? type_of(error.status) : error.type},
+                     {"reason", error.reason}};
   if (!error.index.empty()) cause.emplace_back("index", error.index);
   json::Object outer{{"root_cause", json::Array{cause}}};
   outer.insert(outer.end(), cause.begin(), cause.end());
   return json::Object{{"error", std::move(outer)}, {"status", error.status}};
 }
 
+Answer answer_error(const ApiError& error) {
+  return {error.status, error_body(error), error.retry_after, {}};
+}
+
 http::Response write_error(const ApiError& error) {
   http::Response response;
   response.status = error.status;
@@ -96,108 +44,89 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(error.retry_after).count();
     response.headers.fields.emplace_back("Retry-After", std::to_string(seconds));
   }
-  ApiError named = error;
-  if (named.type.empty()) named.type = type_of(error.status);
-  response.body = json::write(error_body(named));
+  response.body = json::write(error_body(error));
   return response;
 }
 
-std::optional<Duration> parse_time(const std::string& text, const char* name) {
-  if (text == "-1") return std::nullopt;
-  static constexpr std::pair<std::string_view, double> units[] = {
-      {"nanos", 1e-6}, {"micros", 1e-3}, {"ms", 1}, {"s", 1e3}, {"m", 6e4}, {"h", 3.6e6}, {"d", 8.64e7}};
-  double amount = 0;
-  const char* end = text.data() + text.size();
-  const auto got = std::from_chars(text.data(), end, amount, std::chars_format::fixed);
-  const std::string_view unit(got.ptr, static_cast<std::size_t>(end - got.ptr));
-  if (got.ec == std::errc() && amount >= 0)
-    for (const auto& [suffix, ms] : units)
-      if (unit == suffix) return to_duration(FractionalMs(std::min(amount * ms, 8.64e7)));
-  throw ApiError{400,
-                 "illegal_argument_exception",
-                 std::string("failed to parse setting [") + name + "] with value [" + text.substr(0, 40) +
-                     "] as a time value",
-                 {},
-                 {}};
+json::Value read_body(Call& call, const json::Bounds& bounds) {
+  std::string text = call.http.body;
+  if (const auto source = call.parameters.get("source"); source && text.empty()) text = *source;
+  call.parameters.accept("source_content_type");
+  if (text.find_first_not_of(" \t\r\n") == std::string::npos) return {};
+  std::string error;
+  auto body = json::parse(text, error, bounds);
+  if (!body) search::unreadable(error);
+  if (!body->object()) search::unreadable("the body is not an object");
+  return std::move(*body);
 }
 
-std::vector<const IndexContract*> resolve(const std::string& expression, bool ignore_unavailable,
-                                          const std::vector<IndexContract>& indices) {
-  std::vector<const IndexContract*> found;
-  for (std::size_t at = 0; at <= expression.size();) {
-    const std::size_t end = std::min(expression.find(',', at), expression.size());
-    std::string name = expression.substr(at, end - at);
-    if (name == "_all" || name.empty()) name = "*";
-    bool any = false;
-    for (const IndexContract& index : indices) {
-      if (!matches(name, index.name)) continue;
-      any = true;
-      if (std::find(found.begin(), found.end(), &index) == found.end()) found.push_back(&index);
-    }
-    if (!any && !ignore_unavailable && name.find('*') == std::string::npos)
-      throw ApiError{404,
-                     "index_not_found_exception",
-                     "no such index [" + name.substr(0, 80) + "]",
-                     name.substr(0, 80),
-                     {}};
-    at = end + 1;
-  }
-  return found;
+std::int64_t wall_ms() {
+  return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string joined(const json::Value& value) {
+  if (value.string()) return *value.string();
+  std::string out;
+  if (value.array())
+    for (const json::Value& one : *value.array())
+      if (one.string()) out += (out.empty() ? "" : ",") + *one.string();
+  return out;
+}
+
+json::Value plain(const json::Value& value) {
+  std::string error;
+  return json::parse(json::write(value), error, {256, 100'000'000}).value_or(json::Value());
 }
 
 int slice_of(const IndexContract& index, const std::string& routing) {
-  std::uint32_t hash = 2166136261u;  // FNV-1a: the same at every coordinator and after every start
+  std::uint32_t hash = 2166136261u;  // FNV-1a
   for (const char c : routing) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
   return index.first_slice + static_cast<int>(hash % static_cast<std::uint32_t>(index.slices));
 }
 
-std::vector<int> slices_of(const Search& search) {
-  std::set<int> slices;
-  for (const IndexContract* index : search.indices) {
-    if (!search.routing.empty()) {
-      slices.insert(slice_of(*index, search.routing));
-      continue;
-    }
-    for (int i = 0; i < index->slices; ++i) slices.insert(index->first_slice + i);
-  }
-  return {slices.begin(), slices.end()};
+std::string Plan::index_of(int slice) const {
+  for (const search::Target& target : targets)
+    if (slice >= target.index->first_slice && slice < target.index->first_slice + target.index->slices)
+      return target.index->name;
+  return {};
 }
 
-Rendered write_search(const Search& search, const Reply& reply, Duration took) {
-  if (reply.kind == Reply::Kind::refused) {
-    const Duration advice =
-        reply.retry_after > Duration::zero() ? reply.retry_after : Duration(std::chrono::seconds(1));
-    const ApiError error{429, "rejected_execution_exception", "refused: " + reply.why, {}, advice};
-    return {429, error_body(error), advice};
-  }
-  if (reply.kind == Reply::Kind::rejected) {
-    const ApiError error{409, "illegal_argument_exception", "rejected: " + reply.why, {}, {}};
-    return {409, error_body(error), {}};
-  }
-  if (reply.kind == Reply::Kind::failed) {
-    const ApiError error{504, "timeout_exception", "no answer in time: " + reply.why, {}, {}};
-    return {504, error_body(error), {}};
-  }
-  if (!reply.whole && !search.allow_partial) {
-    const ApiError error{504, "search_phase_execution_exception", "Partial shards failure", {}, {}};
-    return {504, error_body(error), {}};
+Plan make_plan(std::vector<search::Target> targets, const std::string& routing) {
+  Plan plan;
+  std::map<int, Plan::Part> parts;
+  for (const search::Target& target : targets) {
+    const IndexContract& index = *target.index;
+    if (plan.class_name.empty()) plan.class_name = index.class_name;
+    if (index.class_name != plan.class_name)
+      search::illegal("the indices of one search must be of one class");
+    std::vector<json::Value> filters;
+    if (target.filters.size() == 1) filters = target.filters;
+    if (target.filters.size() > 1)
+      filters.push_back(json::Object{
+          {"bool", json::Object{{"should", json::Array(target.filters.begin(), target.filters.end())}}}});
+    const auto add = [&](int slice) {
+      Plan::Part part{slice, filters, {}, nullptr};
+      const auto [it, fresh] = parts.emplace(slice, part);
+      if (!fresh && it->second.filters != part.filters)
+        search::illegal("slice " + std::to_string(slice) +
+                        " belongs to two of the indices, and aliases filter it in two ways");
+    };
+    if (routing.empty()) {
+      for (int i = 0; i < index.slices; ++i) add(index.first_slice + i);
+      continue;
+    }
+    for (std::size_t at = 0; at <= routing.size();) {
+      const std::size_t end = std::min(routing.find(',', at), routing.size());
+      const std::string value = routing.substr(at, end - at);
+      // A value may stand twice, or belong to a slice that is there already.
+      if (const int slice = slice_of(index, value); !parts.contains(slice)) add(slice);
+      at = end + 1;
+    }
   }
-  std::vector<Hit> hits;
-  for (const Reply::Item& item : reply.items) add_hits(index_of(search, item.shard), item, hits);
-  std::stable_sort(hits.begin(), hits.end(), [](const Hit& a, const Hit& b) { return a.score > b.score; });
-  json::Array shown;
-  for (std::size_t i = search.from; i < hits.size() && i < search.from + search.size; ++i)
-    shown.push_back(std::move(hits[i].value));
-  const json::Value best = hits.empty() ? json::Value() : json::Value(hits.front().score);
-  json::Object body{
-      {"took", std::chrono::duration_cast<Milliseconds>(took).count()},
-      {"timed_out", !reply.whole},
-      {"_shards", shards(search, reply)},
-      {"hits", json::Object{{"total", json::Object{{"value", static_cast<std::uint64_t>(hits.size())},
-                                                   {"relation", reply.whole ? "eq" : "gte"}}},
-                            {"max_score", best},
-                            {"hits", std::move(shown)}}}};
-  return {200, std::move(body), {}};
+  for (auto& [slice, part] : parts) plan.parts.push_back(std::move(part));
+  plan.targets = std::move(targets);
+  return plan;
 }
 
 }  // namespace kelpdeal::opensearch
--- a/src/front/opensearch/opensearch_front.cpp
+++ b/src/front/opensearch/opensearch_front.cpp
@@ -1,8 +1,13 @@
 // SPDX-License-Identifier: MIT
+// Routes, teams, and the shape of every answer.
 #include "kelpdeal/opensearch_front.h"
 
+#include <sodium.h>
+
 #include <algorithm>
-#include <cmath>
+
+#include "call.h"
+#include "kelpdeal/search/filter_path.h"
 
 namespace kelpdeal {
 
@@ -10,102 +15,187 @@
 
 namespace {
 
-constexpr Route kRoutes[] = {
-    {"GET", "/"},
-    {"HEAD", "/"},
-    {"GET", "/_search"},
-    {"POST", "/_search"},
-    {"GET", "/{index}/_search"},
-    {"POST", "/{index}/_search"},
-    {"GET", "/_msearch"},
-    {"POST", "/_msearch"},
-    {"GET", "/{index}/_msearch"},
-    {"POST", "/{index}/_msearch"},
-    {"POST", "/{index}/_doc"},
-    {"PUT", "/{index}/_doc/{id}"},
-    {"POST", "/{index}/_doc/{id}"},
-    {"PUT", "/{index}/_create/{id}"},
-    {"POST", "/{index}/_create/{id}"},
-};
-constexpr std::size_t kMostSearches = 100;  // of one multi-search
-
 std::vector<std::string> segments(std::string_view path) {
   std::vector<std::string> found;
   for (std::size_t at = 1; at < path.size();) {
     const std::size_t end = std::min(path.find('/', at), path.size());
-    found.push_back(http::percent_decode(path.substr(at, end - at), false));
+    if (end > at) found.push_back(http::percent_decode(path.substr(at, end - at), false));
     at = end + 1;
   }
   return found;
 }
 
-// The route of a path, telling the names in braces; below 0 if there is none.
-bool follows(const Route& route, const std::vector<std::string>& path, std::string& index, std::string& id) {
-  const std::vector<std::string> pattern = segments(route.pattern);
-  if (pattern.size() != path.size()) return false;
-  for (std::size_t i = 0; i < path.size(); ++i) {
-    const bool name = pattern[i].starts_with('{');
-    if (name ? path[i].empty() || path[i].starts_with('_') : pattern[i] != path[i])
-      if (!(pattern[i] == "{index}" && path[i] == "_all") && !(pattern[i] == "{id}" && !path[i].empty()))
-        return false;
-  }
-  for (std::size_t i = 0; i < path.size(); ++i) {
-    if (pattern[i] == "{index}") index = path[i];
-    if (pattern[i] == "{id}") id = path[i];
+// How many names in braces the path fills, if it follows the route; below 0 if it does not.
+int follows(std::string_view pattern, const std::vector<std::string>& path, Call& call) {
+  std::size_t i = 0, at = 1;
+  int names = 0;
+  Call found{call.http, {}, {}, {}, {}, {}, {}, {}};
+  for (; at < pattern.size(); ++i) {
+    const std::size_t end = std::min(pattern.find('/', at), pattern.size());
+    const std::string_view segment = pattern.substr(at, end - at);
+    at = end + 1;
+    if (i >= path.size()) return -1;
+    const std::string& given = path[i];
+    if (!segment.starts_with('{')) {
+      if (segment != given) return -1;
+      continue;
+    }
+    ++names;
+    if (segment == "{index}") {
+      if (given.starts_with('_') && given != "_all") return -1;
+      found.index = given;
+    } else if (segment == "{name}") {
+      found.name = given;
+    } else {
+      found.id = given;
+    }
   }
-  return true;
+  if (i != path.size()) return -1;
+  call.index = found.index;
+  call.id = found.id;
+  call.name = found.name;
+  return names;
 }
 
-http::Response answer(int status, const json::Value& body) {
-  http::Response response;
-  response.status = status;
-  response.headers.fields = {{"Content-Type", "application/json; charset=UTF-8"}};
-  response.body = json::write(body);
-  return response;
+search::SearchBounds search_bounds(const Limits& limits) {
+  search::SearchBounds bounds;
+  bounds.json = limits.json;
+  return bounds;
 }
 
-http::Response answer(const Rendered& outcome) {
-  http::Response response = answer(outcome.status, outcome.body);
-  if (outcome.retry_after > Duration::zero())
-    response.headers.fields.emplace_back(
-        "Retry-After", std::to_string(std::chrono::ceil<std::chrono::seconds>(outcome.retry_after).count()));
-  return response;
+// Without keys of the operators' own, ids hold for this process alone.
+std::vector<search::CursorKey> cursor_keys(const FrontContract& contract) {
+  if (sodium_init() < 0) throw std::runtime_error("no random numbers to be had for cursors");
+  if (!contract.cursor_keys.empty()) {
+    std::string problem;
+    auto keys = search::read_cursor_keys(contract.cursor_keys, problem);
+    if (!keys) throw ConfigError("field cursor_keys: " + problem);
+    return std::move(*keys);
+  }
+  search::CursorKey key;
+  key.name = "start";
+  randombytes_buf(key.secret.data(), key.secret.size());
+  return {key};
 }
 
-[[noreturn]] void invalid(const std::string& reason) {
-  throw ApiError{400, "illegal_argument_exception", reason, {}, {}};
+std::string seconds(Duration span) {
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(span).count());
 }
 
-bool to_flag(const std::string& text, const char* name) {
-  if (text == "true" || text.empty()) return true;
-  if (text == "false") return false;
-  invalid(std::string("failed to parse [") + name + "] as a boolean");
-}
+}  // namespace
 
-std::size_t to_count(double value, const char* name) {
-  if (!(value >= 0) || value > 10'000 || value != std::floor(value))
-    invalid(std::string("[") + name + "] must be a whole number from 0 to 10000");
-  return static_cast<std::size_t>(value);
+std::span<const OpenSearchFront::Handler> OpenSearchFront::handlers() {
+  using F = OpenSearchFront;
+  static constexpr Handler all[] = {
+      {{"GET", "/"}, &F::info},
+      {{"HEAD", "/"}, &F::info},
+      {{"GET", "/_search"}, &F::search},
+      {{"POST", "/_search"}, &F::search},
+      {{"GET", "/{index}/_search"}, &F::search},
+      {{"POST", "/{index}/_search"}, &F::search},
+      {{"GET", "/_msearch"}, &F::multi_search},
+      {{"POST", "/_msearch"}, &F::multi_search},
+      {{"GET", "/{index}/_msearch"}, &F::multi_search},
+      {{"POST", "/{index}/_msearch"}, &F::multi_search},
+      {{"GET", "/_count"}, &F::count},
+      {{"POST", "/_count"}, &F::count},
+      {{"GET", "/{index}/_count"}, &F::count},
+      {{"POST", "/{index}/_count"}, &F::count},
+      {{"GET", "/_validate/query"}, &F::validate},
+      {{"POST", "/_validate/query"}, &F::validate},
+      {{"GET", "/{index}/_validate/query"}, &F::validate},
+      {{"POST", "/{index}/_validate/query"}, &F::validate},
+      {{"GET", "/_search/template"}, &F::search_template},
+      {{"POST", "/_search/template"}, &F::search_template},
+      {{"GET", "/{index}/_search/template"}, &F::search_template},
+      {{"POST", "/{index}/_search/template"}, &F::search_template},
+      {{"GET", "/_msearch/template"}, &F::multi_search_template},
+      {{"POST", "/_msearch/template"}, &F::multi_search_template},
+      {{"GET", "/{index}/_msearch/template"}, &F::multi_search_template},
+      {{"POST", "/{index}/_msearch/template"}, &F::multi_search_template},
+      {{"GET", "/_render/template"}, &F::render_template},
+      {{"POST", "/_render/template"}, &F::render_template},
+      {{"GET", "/_search/scroll"}, &F::scroll},
+      {{"POST", "/_search/scroll"}, &F::scroll},
+      {{"DELETE", "/_search/scroll"}, &F::clear_scroll},
+      {{"GET", "/_search/scroll/{scroll_id}"}, &F::scroll},
+      {{"POST", "/_search/scroll/{scroll_id}"}, &F::scroll},
+      {{"DELETE", "/_search/scroll/{scroll_id}"}, &F::clear_scroll},
+      {{"POST", "/{index}/_search/point_in_time"}, &F::open_point},
+      {{"DELETE", "/_search/point_in_time"}, &F::close_point},
+      {{"GET", "/_search/point_in_time/_all"}, &F::list_points},
+      {{"DELETE", "/_search/point_in_time/_all"}, &F::close_points},
+      {{"POST", "/{index}/_doc"}, &F::write_document},
+      {{"PUT", "/{index}/_doc/{id}"}, &F::write_document},
+      {{"POST", "/{index}/_doc/{id}"}, &F::write_document},
+      {{"PUT", "/{index}/_create/{id}"}, &F::write_document},
+      {{"POST", "/{index}/_create/{id}"}, &F::write_document},
+      {{"GET", "/{index}/_doc/{id}"}, &F::read_document},
+      {{"HEAD", "/{index}/_doc/{id}"}, &F::read_document},
+      {{"GET", "/{index}/_source/{id}"}, &F::read_source},
+      {{"HEAD", "/{index}/_source/{id}"}, &F::read_source},
+      {{"DELETE", "/{index}/_doc/{id}"}, &F::refuse_change},
+      {{"POST", "/{index}/_update/{id}"}, &F::refuse_change},
+      {{"GET", "/_mget"}, &F::multi_get},
+      {{"POST", "/_mget"}, &F::multi_get},
+      {{"GET", "/{index}/_mget"}, &F::multi_get},
+      {{"POST", "/{index}/_mget"}, &F::multi_get},
+      {{"POST", "/_bulk"}, &F::bulk},
+      {{"PUT", "/_bulk"}, &F::bulk},
+      {{"POST", "/{index}/_bulk"}, &F::bulk},
+      {{"PUT", "/{index}/_bulk"}, &F::bulk},
+      {{"GET", "/_resolve/index/{name}"}, &F::resolve_index},
+      {{"GET", "/_search_shards"}, &F::search_shards},
+      {{"POST", "/_search_shards"}, &F::search_shards},
+      {{"GET", "/{index}/_search_shards"}, &F::search_shards},
+      {{"POST", "/{index}/_search_shards"}, &F::search_shards},
+      {{"GET", "/{index}"}, &F::get_index},
+      {{"HEAD", "/{index}"}, &F::get_index},
+      {{"GET", "/_alias"}, &F::get_alias},
+      {{"GET", "/_alias/{name}"}, &F::get_alias},
+      {{"HEAD", "/_alias/{name}"}, &F::get_alias},
+      {{"GET", "/{index}/_alias"}, &F::get_alias},
+      {{"GET", "/{index}/_alias/{name}"}, &F::get_alias},
+      {{"HEAD", "/{index}/_alias/{name}"}, &F::get_alias},
+      {{"GET", "/_mapping"}, &F::get_mapping},
+      {{"GET", "/{index}/_mapping"}, &F::get_mapping},
+      {{"GET", "/_settings"}, &F::get_settings},
+      {{"GET", "/{index}/_settings"}, &F::get_settings},
+      {{"GET", "/_field_caps"}, &F::field_caps},
+      {{"POST", "/_field_caps"}, &F::field_caps},
+      {{"GET", "/{index}/_field_caps"}, &F::field_caps},
+      {{"POST", "/{index}/_field_caps"}, &F::field_caps},
+      {{"GET", "/_cluster/health"}, &F::health},
+      {{"GET", "/_cluster/health/{index}"}, &F::health},
+      {{"GET", "/_nodes"}, &F::nodes},
+      {{"GET", "/_tasks"}, &F::tasks},
+      {{"GET", "/_tasks/{task_id}"}, &F::task},
+      {{"POST", "/_tasks/_cancel"}, &F::cancel_tasks},
+      {{"POST", "/_tasks/{task_id}/_cancel"}, &F::cancel_tasks},
+      {{"GET", "/_cat/health"}, &F::cat},
+      {{"GET", "/_cat/indices"}, &F::cat},
+      {{"GET", "/_cat/indices/{index}"}, &F::cat},
+      {{"GET", "/_cat/shards"}, &F::cat},
+      {{"GET", "/_cat/shards/{index}"}, &F::cat},
+      {{"GET", "/_cat/nodes"}, &F::cat},
+      {{"GET", "/_cat/aliases"}, &F::cat},
+      {{"GET", "/_cat/aliases/{name}"}, &F::cat},
+      {{"GET", "/_cat/count"}, &F::cat},
+      {{"GET", "/_cat/count/{index}"}, &F::cat},
+      {{"GET", "/_cat/tasks"}, &F::cat},
+  };
+  return all;
 }
 
-std::size_t to_count(const std::string& text, const char* name) {
-  std::string error;
-  const auto value = json::parse(text, error);
-  if (!value || !value->number()) invalid(std::string("failed to parse [") + name + "]");
-  return to_count(*value->number(), name);
+std::span<const Route> opensearch::routes() {
+  static const std::vector<Route> all = [] {
+    std::vector<Route> routes;
+    for (const auto& handler : OpenSearchFront::handlers()) routes.push_back(handler.route);
+    return routes;
+  }();
+  return all;
 }
 
-}  // namespace
-
-std::span<const Route> opensearch::routes() { return kRoutes; }
-
-// One HTTP request, as routed.
-struct OpenSearchFront::Call {
-  const http::Request& http;
-  std::string pattern, index, id, team;
-  TimePoint received;
-};
-
 OpenSearchFront::OpenSearchFront(Scheduler& scheduler, Broker& broker, FrontContract contract,
                                  const Limits& limits, std::uint64_t seed, Metrics& metrics)
     : scheduler_(scheduler),
@@ -113,115 +203,153 @@
       contract_(std::move(contract)),
       budgets_(contract_.teams),
       limits_(limits),
+      bounds_(search_bounds(limits)),
       metrics_(metrics),
-      ids_(seed) {}
+      ids_(seed),
+      seal_(cursor_keys(contract_)),
+      cursors_({limits.cursors_of_team, limits.cursors}),
+      fanout_({limits.fanout, limits.fanout_of_one}) {
+  for (const IndexContract& index : contract_.indices) {
+    for (const IndexContract::Alias& alias : index.aliases) {
+      if (alias.filter.is_null()) continue;
+      try {
+        search::check_query(alias.filter, "filter", bounds_.query);
+      } catch (const ApiError& error) {
+        throw ConfigError("field indices." + index.name + ".aliases." + alias.name + ": " + error.reason);
+      }
+    }
+  }
+}
 
 http::Response OpenSearchFront::reject(int status, const std::string& problem) {
   return write_error({status, {}, problem, {}, {}});
 }
 
-std::string OpenSearchFront::next_id() {
+std::uint64_t OpenSearchFront::next_number() {
   std::uint64_t x = ids_ += 0x9e3779b97f4a7c15ULL;  // splitmix64
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
   x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  x ^= x >> 31;
+  return x ^ (x >> 31);
+}
+
+std::string OpenSearchFront::next_id() {
+  const std::uint64_t x = next_number();
   static constexpr char hex[] = "0123456789abcdef";
   std::string id;
   for (int shift = 60; shift >= 0; shift -= 4) id += hex[x >> shift & 15];
   return id;
 }
 
+HttpHandler::Reading OpenSearchFront::reading(const http::Request& head) const {
+  const std::string_view path = head.path();
+  const bool bulk = path.ends_with("/_bulk") && (head.method == "POST" || head.method == "PUT");
+  return {bulk ? limits_.bulk_bytes : limits_.search_body, bulk};
+}
+
 Task<http::Response> OpenSearchFront::handle(http::Request request, Caller& caller, TimePoint received) {
+  Call call{request, received, {}, {}, {}, {}, {}, {}};
+  co_return co_await respond(call, nullptr, caller);
+}
+
+Task<http::Response> OpenSearchFront::stream(http::Request head, HttpBody& body, Caller& caller,
+                                             TimePoint received) {
+  Call call{head, received, {}, {}, {}, {}, {}, {}};
+  co_return co_await respond(call, &body, caller);
+}
+
+Task<http::Response> OpenSearchFront::respond(Call& call, HttpBody* body, Caller& caller) {
   metrics_.count("opensearch.requests");
-  Call call{request, {}, {}, {}, {}, received};
-  if (const std::string* team = request.headers.find("X-Team")) call.team = *team;
-  http::Response response;
+  if (const std::string* team = call.http.headers.find("X-Team")) call.team = *team;
+  if (const std::string* opaque = call.http.headers.find("X-Opaque-Id")) call.opaque = *opaque;
+  call.parameters = search::Parameters(call.http.parameters());
+  call.parameters.accept("pretty human error_trace filter_path");
+  Answer answer;
   try {
-    response = co_await dispatch(call, caller);
+    const Handler& handler = route(call);
+    if (body)
+      answer = co_await take_bulk(call, *body, caller);
+    else
+      answer = co_await (this->*handler.method)(call, caller);
   } catch (const ApiError& error) {
     if (error.status < 429) metrics_.log("request", error.reason);
-    response = write_error(error);
+    answer = answer_error(error);
   }
-  if (const std::string* opaque = request.headers.find("X-Opaque-Id"))
-    response.headers.fields.emplace_back("X-Opaque-Id", *opaque);
-  co_return response;
+  co_return write(call, std::move(answer));
 }
 
-Task<http::Response> OpenSearchFront::dispatch(const Call& given, Caller& caller) {
-  Call call = given;
+const OpenSearchFront::Handler& OpenSearchFront::route(Call& call) const {
   const std::vector<std::string> path = segments(call.http.path());
+  const Handler* best = nullptr;
+  int fewest = 0;
   bool known_path = false;
-  for (const Route& route : kRoutes) {
-    if (!follows(route, path, call.index, call.id)) continue;
+  Call found{call.http, {}, {}, {}, {}, {}, {}, {}};
+  for (const Handler& handler : handlers()) {
+    Call tried{call.http, {}, {}, {}, {}, {}, {}, {}};
+    const int names = follows(handler.route.pattern, path, tried);
+    if (names < 0) continue;
     known_path = true;
-    if (call.http.method == route.method) call.pattern = route.pattern;
+    if (call.http.method != handler.route.method || (best && names >= fewest)) continue;
+    best = &handler;
+    fewest = names;
+    found.index = tried.index;
+    found.id = tried.id;
+    found.name = tried.name;
   }
-  if (call.pattern.empty() && known_path)
-    throw ApiError{405, "illegal_argument_exception", "method not allowed for this path", {}, {}};
-  if (call.pattern.empty())
-    throw ApiError{400, "illegal_argument_exception", "no handler found for this uri and method", {}, {}};
+  if (!best && known_path)
+    throw ApiError{
+        405,
+        "illegal_argument_exception",
+        "method [" + call.http.method + "] is not allowed for [" + search::shortened(call.http.path()) + "]",
+        {},
+        {}};
+  if (!best)
+    search::illegal("no handler found for uri [" + search::shortened(call.http.path()) + "] and method [" +
+                    call.http.method + "]");
+  call.pattern = best->route.pattern;
+  call.index = found.index;
+  call.id = found.id;
+  call.name = found.name;
+  return *best;
+}
 
-  if (call.http.method == "HEAD") {
-    http::Response alive;  // what client libraries ping with; it has no body
-    alive.status = 200;
-    co_return alive;
+http::Response OpenSearchFront::write(const Call& call, Answer answer) const {
+  http::Response response;
+  response.status = answer.status;
+  response.headers.fields = {
+      {"Content-Type", answer.text ? "text/plain; charset=UTF-8" : "application/json; charset=UTF-8"}};
+  if (answer.retry_after > Duration::zero())
+    response.headers.fields.emplace_back("Retry-After", seconds(answer.retry_after));
+  if (!call.opaque.empty()) response.headers.fields.emplace_back("X-Opaque-Id", call.opaque);
+  if (call.http.method == "HEAD") return response;  // it has no body
+  if (answer.text) {
+    response.body = std::move(*answer.text);
+    return response;
   }
-  if (call.pattern == "/")
-    co_return answer(
-        200, json::Object{{"name", "kelpdeal"},
-                          {"cluster_name", "kelpdeal"},
-                          {"version", json::Object{{"distribution", "kelpdeal"}, {"number", "2.0.0"}}},
-                          {"tagline", "A broker that speaks an OpenSearch-style API"}});
-  if (call.pattern.ends_with("/_search")) {
-    Search asked = read_search(call.index, json::Value(), call.http.body, call);
-    const Rendered outcome = co_await search(std::move(asked), call, caller);
-    co_return answer(outcome);
+  const auto paths = call.http.parameter("filter_path"), pretty = call.http.parameter("pretty");
+  try {
+    if (paths && !paths->empty()) answer.body = search::filter_path(plain(answer.body), *paths);
+  } catch (const ApiError& error) {
+    response.status = error.status;
+    answer.body = error_body(error);
   }
-  if (call.pattern.ends_with("/_msearch")) co_return co_await multi_search(call, caller);
-  co_return co_await write_document(call, caller);
+  response.body =
+      pretty && *pretty != "false" ? json::write_pretty(plain(answer.body)) : json::write(answer.body);
+  return response;
 }
 
-Search OpenSearchFront::read_search(const std::string& expression, const json::Value& header,
-                                    const std::string& body, const Call& call) const {
-  const auto option = [&](const char* name) -> std::optional<std::string> {
-    if (const json::Value* value = header.find(name)) {
-      if (value->string()) return *value->string();
-      if (value->boolean()) return *value->boolean() ? "true" : "false";
-    }
-    return call.http.parameter(name);
-  };
-  Search search;
-  search.text = body.empty() ? "{}" : body;
-  std::string error;
-  const auto query = json::parse(search.text, error, limits_.json);
-  if (!query || !query->object())
-    throw ApiError{400, "parsing_exception", query ? "the body is not an object" : error, {}, {}};
-  if (query->find("aggs") || query->find("aggregations"))
-    invalid("aggregations are not taken: their parts cannot be put together here");
-
-  const bool ignore = to_flag(option("ignore_unavailable").value_or("false"), "ignore_unavailable");
-  search.indices = resolve(expression, ignore, contract_.indices);
-  if (search.indices.empty())
-    throw ApiError{404, "index_not_found_exception", "no such index", expression, {}};
-  search.class_name = search.indices.front()->class_name;
-  for (const IndexContract* index : search.indices)
-    if (index->class_name != search.class_name) invalid("the indices of one search must be of one class");
-  if (broker_.find_class(search.class_name)->effect != cottonbay::Effect::safe)
-    invalid("index [" + search.indices.front()->name + "] takes documents, not searches");
+std::vector<search::Target> OpenSearchFront::resolve(const std::string& expression,
+                                                     const search::NameOptions& options) const {
+  return search::resolve(expression, options, contract_.indices, wall_ms());
+}
 
-  if (const auto timeout = option("timeout")) search.timeout = parse_time(*timeout, "timeout");
-  if (const json::Value* timeout = query->find("timeout")) {
-    if (!timeout->string()) invalid("[timeout] must be text with a unit");
-    search.timeout = parse_time(*timeout->string(), "timeout");
-  }
-  search.allow_partial =
-      to_flag(option("allow_partial_search_results").value_or("true"), "allow_partial_search_results");
-  search.routing = option("routing").value_or("");
-  if (const auto from = option("from")) search.from = to_count(*from, "from");
-  if (const auto size = option("size")) search.size = to_count(*size, "size");
-  if (query->find("from")) search.from = to_count(query->number_or("from", -1), "from");
-  if (query->find("size")) search.size = to_count(query->number_or("size", -1), "size");
-  return search;
+const IndexContract& OpenSearchFront::one_index(const std::string& name) const {
+  search::NameOptions options;
+  options.expand_open = false;
+  const std::vector<search::Target> found = resolve(name, options);
+  if (found.size() != 1) search::illegal("[" + search::shortened(name) + "] names more than one index");
+  if (!found.front().filters.empty())
+    search::illegal("a document goes to an index, not to an alias with a filter");
+  return *found.front().index;
 }
 
 Budgets::Permit OpenSearchFront::permit(const Call& call, const std::string& class_name) {
@@ -253,142 +381,4 @@
                  verdict.retry_after};
 }
 
-Task<Rendered> OpenSearchFront::search(Search search, const Call& call, Caller& caller) {
-  const Budgets::Permit held = permit(call, search.class_name);
-  const cottonbay::ClassSettings* cls = broker_.find_class(search.class_name);
-  QueryRequest query;
-  query.id = next_id();
-  query.class_name = search.class_name;
-  query.text = search.text;
-  const Duration whole = to_duration(FractionalMs(cls->deadline_ms));
-  const Duration budget = std::min(search.timeout.value_or(whole), whole);
-  query.expires = call.received + budget - std::min(limits_.answer_margin, budget);
-  const std::vector<int> slices = slices_of(search);
-  for (const int slice : slices)
-    query.parts.push_back({slice, 1.0 / static_cast<double>(slices.size()), std::nullopt});
-  const Reply reply = co_await broker_.serve(std::move(query), caller);
-  co_return write_search(search, reply, Clock::now() - call.received);
-}
-
-Task<void> OpenSearchFront::search_one(std::string header, std::string body, const Call& call, Caller& caller,
-                                       Rendered& outcome, Mailbox<int>& done) {
-  try {
-    std::string error;
-    const auto options = json::parse(header.empty() ? "{}" : header, error, limits_.json);
-    if (!options || !options->object())
-      throw ApiError{400, "parsing_exception", "a header of the multi-search is not an object", {}, {}};
-    std::string index = call.index;
-    if (const json::Value* named = options->find("index")) {
-      index.clear();
-      if (named->string()) index = *named->string();
-      if (const json::Array* several = named->array())
-        for (const json::Value& one : *several)
-          if (one.string()) index += (index.empty() ? "" : ",") + *one.string();
-    }
-    Search asked = read_search(index, *options, body, call);
-    outcome = co_await search(std::move(asked), call, caller);
-  } catch (const ApiError& error) {
-    outcome = {error.status, error_body(error), error.retry_after};
-  }
-  done.put(1);
-}
-
-Task<http::Response> OpenSearchFront::multi_search(const Call& call, Caller& caller) {
-  std::vector<std::string> lines;
-  const std::string& body = call.http.body;
-  for (std::size_t at = 0; at < body.size();) {
-    const std::size_t end = std::min(body.find('\n', at), body.size());
-    std::string line = body.substr(at, end - at);
-    if (line.ends_with('\r')) line.pop_back();
-    lines.push_back(std::move(line));
-    at = end + 1;
-  }
-  while (!lines.empty() && lines.back().empty() && lines.size() % 2 != 0) lines.pop_back();
-  if (lines.empty() || lines.size() % 2 != 0)
-    throw ApiError{
-        400, "parsing_exception", "a multi-search needs a header and a body line for each search", {}, {}};
-  const std::size_t count = lines.size() / 2;
-  if (count > kMostSearches) invalid("too many searches in one multi-search");
-
-  // All run at once; each has a caller of its own, as all of them have to hear that the client left.
-  std::vector<Caller> callers(count);
-  std::vector<Rendered> outcomes(count);
-  Mailbox<int> done(scheduler_);
-  caller.on_leave = [&callers] {
-    for (Caller& each : callers) each.leave();
-  };
-  if (caller.gone()) caller.on_leave();
-  for (std::size_t i = 0; i < count; ++i)
-    scheduler_.spawn(search_one(std::move(lines[2 * i]), std::move(lines[2 * i + 1]), call, callers[i],
-                                outcomes[i], done));
-  for (std::size_t i = 0; i < count; ++i) co_await done.take();
-  caller.on_leave = nullptr;
-
-  json::Array responses;
-  Duration retry_after{};
-  bool all_refused = true;
-  for (Rendered& outcome : outcomes) {
-    all_refused &= outcome.status == 429;
-    retry_after = std::max(retry_after, outcome.retry_after);
-    json::Object entry = *outcome.body.object();
-    if (!outcome.body.find("status")) entry.emplace_back("status", outcome.status);
-    responses.push_back(std::move(entry));
-  }
-  const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - call.received).count();
-  Rendered whole{200, json::Object{{"took", took}, {"responses", std::move(responses)}}, {}};
-  if (all_refused) whole.retry_after = retry_after;
-  co_return answer(whole);
-}
-
-Task<http::Response> OpenSearchFront::write_document(const Call& call, Caller& caller) {
-  const std::vector<const IndexContract*> found = resolve(call.index, false, contract_.indices);
-  if (found.size() != 1) invalid("a document goes to one index");
-  const IndexContract& index = *found.front();
-  const cottonbay::ClassSettings* cls = broker_.find_class(index.class_name);
-  if (cls->effect == cottonbay::Effect::safe)
-    invalid("index [" + index.name + "] takes searches, not documents");
-  std::string error;
-  const auto document = json::parse(call.http.body, error, limits_.json);
-  if (!document || !document->object())
-    throw ApiError{
-        400, "mapper_parsing_exception", document ? "the document is not an object" : error, {}, {}};
-
-  QueryRequest query;
-  query.id = next_id();
-  const std::string* key = call.http.headers.find("Idempotency-Key");
-  query.key = key ? *key : call.id;
-  if (query.key.empty() || query.key.size() > 64 || query.key.find_first_of(" ,=+\n") != std::string::npos)
-    throw ApiError{400,
-                   "action_request_validation_exception",
-                   "Idempotency-Key is missing or malformed, and the path names no id",
-                   {},
-                   {}};
-  const std::string id = call.id.empty() ? query.key : call.id;
-  query.class_name = index.class_name;
-  query.text = call.http.body;
-  const Budgets::Permit held = permit(call, index.class_name);
-  const Duration whole = to_duration(FractionalMs(cls->deadline_ms));
-  Duration budget = whole;
-  if (const auto timeout = call.http.parameter("timeout"))
-    budget = std::min(whole, parse_time(*timeout, "timeout").value_or(whole));
-  query.expires = call.received + budget - std::min(limits_.answer_margin, budget);
-  const std::string routing = call.http.parameter("routing").value_or(id);
-  query.parts = {{slice_of(index, routing), 1.0, std::nullopt}};
-  const Reply reply = co_await broker_.serve(std::move(query), caller);
-
-  if (reply.kind == Reply::Kind::answered)
-    co_return answer(201,
-                     json::Object{{"_index", index.name},
-                                  {"_id", id},
-                                  {"result", "created"},
-                                  {"_shards", json::Object{{"total", 1}, {"successful", 1}, {"failed", 0}}}});
-  if (reply.kind == Reply::Kind::refused || reply.kind == Reply::Kind::rejected)
-    co_return answer(write_search({}, reply, {}));
-  throw ApiError{504,
-                 "timeout_exception",
-                 "no answer in time; the document may have been recorded: repeat it under the same key",
-                 index.name,
-                 {}};
-}
-
 }  // namespace kelpdeal
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -71,7 +71,11 @@
   }
   const Attempt& part = parts.front();
   request.target = "/" + percent_encode(part.class_name);
-  if (write) {
+  if (part.operation) {
+    request.headers.fields[1].second = "application/x-ndjson";
+    request.headers.fields.emplace_back("Idempotency-Key", part.key);
+    request.target += "/_bulk";
+  } else if (write) {
     request.method = "PUT";
     request.target += "/_doc/" + percent_encode(part.key);
     request.headers.fields.emplace_back("Idempotency-Key", part.key);
@@ -83,24 +87,58 @@
     request.target += separator + name + "=" + percent_encode(*value.string());
     separator = '&';
   }
-  request.body = write ? part.text : one_line(part.text);
+  request.body = write || part.operation ? part.text : one_line(part.text);
   return request;
 }
 
-AttemptResult read_node_answer(int status, const json::Value& body) {
+AttemptResult read_node_answer(int status, std::string_view text, bool write) {
   AttemptResult result;
-  if (status == 429 || status == 503) {
-    result.outcome = Outcome::full;  // in this API's terms nothing was run
-  } else if (status != 200 && status != 201) {
-    result.outcome = Outcome::error;
-  } else if (body.number_or("_shards.failed", 0) > 0 || body.flag_or("timed_out", false)) {
-    result.outcome = Outcome::error;
-  } else {
+  std::string error;
+  // Hits and buckets are not looked at here: what is read of the answer is small.
+  const auto small = [&](const char* name) -> json::Value {
+    const auto raw = json::member(text, name);
+    return raw ? json::parse(*raw, error).value_or(json::Value()) : json::Value();
+  };
+  const json::Value problem = small("error");
+  const std::string type = problem.text_or("type", "");
+  const bool rejected = type == "es_rejected_execution_exception" || type == "rejected_execution_exception";
+  // A search that trips a breaker is as good as not run; a write may have got further.
+  const bool broke = type == "circuit_breaking_exception" && !write;
+  if (status == 429 || status == 503 || rejected || broke) {
+    result.outcome = Outcome::full;
+    return result;
+  }
+  // The request itself is at fault: every holder would say so. The front makes it the client's answer.
+  if (problem.object() && status >= 400 && status < 429 && status != 408) {
     result.outcome = Outcome::ok;
-    result.score = body.number_or("hits.max_score", 0);
-    const json::Value* hits = body.at("hits.hits");
-    result.value = json::write(hits ? *hits : body);
+    result.value = text;
+    return result;
   }
+  result.outcome = Outcome::error;
+  if (status != 200 && status != 201) return result;
+  const json::Value shards = small("_shards");
+  if (shards.number_or("failed", 0) > 0) {
+    // Turned away at the door by each of its copies: it has not run.
+    const json::Value* failures = shards.find("failures");
+    const bool all_rejected =
+        failures && failures->array() && !failures->array()->empty() &&
+        std::all_of(failures->array()->begin(), failures->array()->end(), [](const json::Value& failure) {
+          return failure.text_or("reason.type", "").ends_with("rejected_execution_exception");
+        });
+    if (all_rejected) result.outcome = Outcome::full;
+    return result;
+  }
+  if (json::member(text, "timed_out").value_or("") == "true") return result;
+  result.outcome = Outcome::ok;
+  const auto hits = json::member(text, "hits");
+  const auto list = hits ? json::member(*hits, "hits") : std::nullopt;
+  const auto best = hits ? json::member(*hits, "max_score") : std::nullopt;
+  if (best)
+    result.score =
+        json::parse(*best, error).value_or(json::Value()).number() ? *json::parse(*best, error)->number() : 0;
+  // A search's whole answer can be put together with others; a bare list of hits is passed on as one.
+  const bool whole = hits && json::member(*hits, "total");
+  result.value = whole || !list ? text : *list;
   return result;
 }
 
@@ -111,6 +149,9 @@
   std::vector<AttemptId> wanted;
   std::unique_ptr<Stream> stream;
   bool ended = false;
+  // Of a multi-search: its answers as they come in, and how many have.
+  std::optional<json::ItemStream> items;
+  std::size_t read = 0;
 };
 
 OpenSearchTransport::OpenSearchTransport(Scheduler& scheduler, const Limits& limits, Metrics& metrics,
@@ -203,20 +244,31 @@
   if (idle.size() > limits_.parts_per_connection) idle.pop_front();
 }
 
-Task<std::optional<http::Response>> OpenSearchTransport::read(Stream& stream, TimePoint deadline) {
+Task<std::optional<http::Response>> OpenSearchTransport::read(Stream& stream, TimePoint deadline,
+                                                              Call* call) {
   http::Bounds bounds = limits_.http;
   bounds.body = limits_.frame_bytes;
+  const bool several = call && call->parts.size() > 1;
+  if (several) bounds.body *= call->parts.size();
   http::Parser<http::Response> parser(bounds);
+  parser.stop_at_head();
   std::vector<char> chunk(limits_.read_chunk);
-  bool begun = false;
+  bool begun = false, streamed = false;
   for (;;) {
     const IoResult got = co_await stream.read_some(chunk, deadline);
-    // Guards against an answer that trickles without end: the node's own writes arrive together.
-    if (!std::exchange(begun, true)) deadline = std::min(deadline, Clock::now() + limits_.frame_time);
+    // Guards against an answer that trickles without end: the node's own writes arrive together. A
+    // multi-search comes in as its searches end; each of its parts has its own time.
+    if (!std::exchange(begun, true) && !several)
+      deadline = std::min(deadline, Clock::now() + limits_.frame_time);
     if (got.io == Io::ended && parser.finish_at_end()) co_return parser.take();
     if (got.io != Io::ok) co_return std::nullopt;
     parser.feed({chunk.data(), got.bytes});
-    const http::State state = parser.advance();
+    http::State state = parser.advance();
+    if (state == http::State::head) {
+      streamed = several && parser.message().status == 200;
+      state = parser.advance();
+    }
+    if (streamed && !take_items(*call, parser.take_piece())) co_return std::nullopt;
     if (state == http::State::done) {
       http::Response response = parser.take();
       // Guards against more behind an answer than belongs to it: the connection is not used again.
@@ -230,6 +282,29 @@
   }
 }
 
+// Each answer of a multi-search counts from when it has come in, so that the fit of early arrivals sees each
+// part's own time, and what was read stays in if the node then stands still. False if it cannot be read.
+bool OpenSearchTransport::take_items(Call& call, std::string piece) {
+  if (!call.items) call.items.emplace("responses", limits_.frame_bytes);
+  call.items->feed(piece);
+  while (auto item = call.items->next()) {
+    if (call.read >= call.parts.size() || !json::valid(*item)) {
+      spoilt("an answer to a multi-search that could not be read");
+      return false;
+    }
+    const AttemptId attempt = call.parts[call.read++].id;
+    std::erase(call.wanted, attempt);
+    std::string error;
+    const auto told = json::member(*item, "status");
+    const auto status = told ? json::parse(*told, error) : std::nullopt;
+    finish(attempt, read_node_answer(status && status->number() ? static_cast<int>(*status->number()) : 200,
+                                     *item, false));
+  }
+  if (!call.items->bad()) return true;
+  spoilt("an answer to a multi-search that could not be read");
+  return false;
+}
+
 Task<void> OpenSearchTransport::run(CallPtr call) {
   ++connections_;
   std::unique_ptr<Stream> opened = co_await open(call->node);
@@ -246,7 +321,7 @@
       TimePoint last{};
       for (const Attempt& part : call->parts) last = std::max(last, part.until);
       const std::optional<http::Response> response =
-          co_await read(*call->stream, last + limits_.connect_timeout);
+          co_await read(*call->stream, last + limits_.connect_timeout, call.get());
       if (!response) {
         finish(*call, Outcome::reset);
       } else {
@@ -295,26 +370,45 @@
 
 // False if the answer could not be read: nothing more is asked on its connection.
 bool OpenSearchTransport::finish(Call& call, const http::Response& response) {
-  std::string error;
-  const auto body = json::parse(response.body, error);
-  const json::Value* answers = body && call.parts.size() > 1 ? body->find("responses") : nullptr;
-  const bool each = answers && answers->array() && answers->array()->size() == call.parts.size();
-  const bool usable = body && (call.parts.size() == 1 || each);
-  if (!usable && response.status == 200) spoilt("an answer that could not be read");
-  for (std::size_t i = 0; i < call.parts.size(); ++i) {
-    AttemptResult result;
-    if (each && response.status == 200) {
-      const json::Value& one = (*answers->array())[i];
-      result = read_node_answer(static_cast<int>(one.number_or("status", 200)), one);
-    } else {
-      result = read_node_answer(response.status, body ? *body : json::Value());
-      // An answer that cannot be read may have run all the same.
-      if (!usable && result.outcome == Outcome::ok) result.outcome = Outcome::reset;
+  if (call.items) {
+    // Its parts have been told as they came in; what is left had no answer in it.
+    const bool all = call.read == call.parts.size() && call.items->done();
+    if (!all) spoilt("an answer to a multi-search that does not fit it");
+    finish(call, Outcome::reset);
+    return all;
+  }
+  const bool readable = json::valid(response.body);
+  if (!readable && response.status == 200) spoilt("an answer that could not be read");
+  std::string_view text = readable ? std::string_view(response.body) : "{}";
+  int status = response.status;
+  if (call.parts.front().operation && status == 200) {
+    // A bulk of one item: what became of it stands inside.
+    std::string error;
+    const auto items = json::member(text, "items");
+    std::optional<std::string_view> item;
+    if (items) {
+      json::Walk list(*items);
+      if (list.next()) {
+        json::Walk action(list.raw());
+        if (action.next()) item = action.raw();
+      }
     }
-    finish(call.parts[i].id, std::move(result));
+    if (!item) {
+      spoilt("an answer to a bulk that could not be read");
+      finish(call, Outcome::reset);
+      return false;
+    }
+    text = *item;
+    status = static_cast<int>(json::parse(text, error).value_or(json::Value()).number_or("status", 500));
+  }
+  for (const Attempt& part : call.parts) {
+    AttemptResult result = read_node_answer(status, text, call.write);
+    // An answer that cannot be read may have run all the same.
+    if (!readable && result.outcome == Outcome::ok) result.outcome = Outcome::reset;
+    finish(part.id, std::move(result));
   }
   call.wanted.clear();
-  return usable || response.status != 200;
+  return readable || response.status != 200;
 }
 
 }  // namespace kelpdeal
--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -76,18 +76,26 @@
 bool Request::keeps_alive() const { return keeps(headers, minor); }
 bool Response::keeps_alive() const { return keeps(headers, minor); }
 
-std::optional<std::string> Request::parameter(std::string_view name) const {
+std::vector<std::pair<std::string, std::string>> Request::parameters() const {
+  std::vector<std::pair<std::string, std::string>> found;
   const std::size_t mark = target.find('?');
-  if (mark == std::string::npos) return std::nullopt;
+  if (mark == std::string::npos) return found;
   const std::string_view all = std::string_view(target).substr(mark + 1);
   for (std::size_t at = 0; at <= all.size();) {
     const std::size_t end = std::min(all.find('&', at), all.size());
     const std::string_view pair = all.substr(at, end - at);
     const std::size_t equals = std::min(pair.find('='), pair.size());
-    if (percent_decode(pair.substr(0, equals)) == name)
-      return percent_decode(equals < pair.size() ? pair.substr(equals + 1) : std::string_view());
+    if (!pair.empty())
+      found.emplace_back(percent_decode(pair.substr(0, equals)),
+                         percent_decode(equals < pair.size() ? pair.substr(equals + 1) : std::string_view()));
     at = end + 1;
   }
+  return found;
+}
+
+std::optional<std::string> Request::parameter(std::string_view name) const {
+  for (auto& [key, value] : parameters())
+    if (key == name) return value;
   return std::nullopt;
 }
 
@@ -182,7 +190,7 @@
   left_ = 0;
   if (length && (!whole_number(*length, left_, 10) || length->front() == '+'))
     return bad(400, "bad length"), false;
-  if (left_ > bounds_.body) return bad(413, "body too large"), false;
+  if (left_ > most_body_) return bad(413, "body too large"), false;
   stage_ = Stage::length;
   if constexpr (std::is_same_v<Message, Response>) {
     const bool empty = message_.status == 204 || message_.status == 304 || message_.status < 200;
@@ -213,16 +221,22 @@
           buffer_.erase(0, left_);
         } else if (text.empty()) {
           buffer_.erase(0, left_);
-          if (!framing()) return State::bad;
+          stage_ = Stage::framing;
         } else {
           if (!field(text)) return State::bad;
           buffer_.erase(0, left_);
         }
         break;
       }
+      case Stage::framing: {
+        if (stops_at_head_ && !std::exchange(stopped_, true)) return State::head;
+        if (!framing()) return State::bad;
+        break;
+      }
       case Stage::length:
       case Stage::chunk: {
         const std::size_t now = std::min(left_, buffer_.size());
+        body_bytes_ += now;
         message_.body.append(buffer_, 0, now);
         buffer_.erase(0, now);
         left_ -= now;
@@ -234,7 +248,7 @@
         if (!line(text)) return buffer_.size() > 256 ? bad(400, "bad chunk size") : State::more;
         const std::size_t used = left_;
         if (!whole_number(trim(text.substr(0, text.find(';'))), left_, 16)) return bad(400, "bad chunk size");
-        if (left_ > bounds_.body - message_.body.size()) return bad(413, "body too large");
+        if (left_ > most_body_ - body_bytes_) return bad(413, "body too large");
         buffer_.erase(0, used);
         stage_ = left_ == 0 ? Stage::trailer : Stage::chunk;
         break;
@@ -257,7 +271,7 @@
       case Stage::until_end: {
         message_.body += buffer_;
         buffer_.clear();
-        return message_.body.size() > bounds_.body ? bad(413, "body too large") : State::more;
+        return message_.body.size() > most_body_ ? bad(413, "body too large") : State::more;
       }
       case Stage::done:
         return State::done;
@@ -277,7 +291,9 @@
 template <typename Message>
 Message Parser<Message>::take() {
   stage_ = Stage::start;
-  left_ = head_bytes_ = 0;
+  left_ = head_bytes_ = body_bytes_ = 0;
+  most_body_ = bounds_.body;
+  stopped_ = false;
   return std::exchange(message_, {});
 }
 
@@ -302,6 +318,8 @@
       return "Method Not Allowed";
     case 409:
       return "Conflict";
+    case 406:
+      return "Not Acceptable";
     case 408:
       return "Request Timeout";
     case 413:
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -424,6 +424,65 @@
   return found;
 }
 
+std::optional<std::string> ItemStream::next() {
+  const auto item_until = [this](std::size_t end) {
+    std::string item = buffer_.substr(item_from_, end - item_from_);
+    while (!item.empty() && static_cast<unsigned char>(item.back()) <= ' ') item.pop_back();
+    item_from_ = npos;
+    return item;
+  };
+  while (!bad_ && !done_ && at_ < buffer_.size()) {
+    const char c = buffer_[at_];
+    if (in_string_) {
+      if (escaped_) {
+        escaped_ = false;
+      } else if (c == '\\') {
+        escaped_ = true;
+      } else if (c == '"') {
+        in_string_ = false;
+        if (depth_ == 1 && !value_next_) key_ = buffer_.substr(string_from_, at_ - string_from_);
+      }
+      ++at_;
+      continue;
+    }
+    const bool space = static_cast<unsigned char>(c) <= ' ';
+    if (in_list_ && depth_ == 2 && !space && c != ',' && c != ']' && item_from_ == npos) item_from_ = at_;
+    if (in_list_ && depth_ == 2 && (c == ',' || c == ']') && item_from_ != npos) {
+      // The sign is looked at again, with the item behind us.
+      std::string item = item_until(at_);
+      buffer_.erase(0, std::exchange(at_, 0));
+      return item;
+    }
+    if (c == '"') {
+      in_string_ = true;
+      string_from_ = at_ + 1;
+    } else if (c == '{' || c == '[') {
+      if (depth_ == 0 && c == '[') bad_ = true;
+      in_list_ |= depth_ == 1 && c == '[' && value_next_ && key_ == member_;
+      ++depth_;
+    } else if (c == '}' || c == ']') {
+      if (depth_ == 0) {
+        bad_ = true;
+      } else if (--depth_ == 1) {
+        in_list_ = false;
+      }
+      done_ = depth_ == 0;
+    } else if (depth_ == 0 && !space) {
+      bad_ = true;
+    }
+    if (depth_ == 1 && c == ':') value_next_ = true;
+    if (depth_ == 1 && c == ',') value_next_ = false;
+    ++at_;
+  }
+  // What is not of an item is not kept.
+  if (item_from_ == npos && !in_string_) {
+    around_ += at_;
+    buffer_.erase(0, std::exchange(at_, 0));
+  }
+  if (buffer_.size() > most_ || around_ > most_) bad_ = true;
+  return std::nullopt;
+}
+
 std::string unquote(std::string_view raw) {
   if (raw.size() < 2 || raw.front() != '"') return std::string(raw);
   if (raw.find('\\') == std::string_view::npos) return std::string(raw.substr(1, raw.size() - 2));
--- /dev/null
+++ b/src/search/bulk.cpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/bulk.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+
+#include "kelpdeal/search/api_error.h"
+
+namespace kelpdeal::search {
+
+std::optional<std::string> Lines::next() {
+  std::size_t end = buffer_.find('\n', at_);
+  if (end == std::string::npos) {
+    if (buffer_.size() - at_ > most_) too_long_ = true;
+    if (!ended_ || at_ == buffer_.size()) {
+      buffer_.erase(0, std::exchange(at_, 0));
+      return std::nullopt;
+    }
+    end = buffer_.size();
+  }
+  if (end - at_ > most_) {
+    too_long_ = true;
+    return std::nullopt;
+  }
+  std::string line = buffer_.substr(at_, end - at_);
+  at_ = std::min(end + 1, buffer_.size());
+  if (line.ends_with('\r')) line.pop_back();
+  return line;
+}
+
+const char* BulkItem::name() const {
+  switch (action) {
+    case Action::index:
+      return "index";
+    case Action::create:
+      return "create";
+    case Action::update:
+      return "update";
+    case Action::erase:
+      return "delete";
+  }
+  return "";
+}
+
+std::optional<BulkItem> BulkReader::line(std::string text) {
+  ++lines_;
+  if (waiting_) {
+    BulkItem item = std::move(*waiting_);
+    waiting_.reset();
+    std::string error;
+    const auto document = item.problem.empty() ? json::parse(text, error, bounds_) : std::nullopt;
+    if (item.problem.empty() && (!document || !document->object()))
+      item.problem = document ? "the document is not an object" : "failed to parse: " + error;
+    item.document = std::move(text);
+    return item;
+  }
+  if (text.find_first_not_of(" \t") == std::string::npos) return std::nullopt;
+  const auto malformed = [&](const std::string& what) {
+    illegal("Malformed action/metadata line [" + std::to_string(lines_) + "], " + what);
+  };
+  std::string error;
+  const auto line = json::parse(text, error, bounds_);
+  if (!line || !line->object() || line->object()->size() != 1) malformed("expected an object of one action");
+  const auto& [action, options] = line->object()->front();
+  BulkItem item;
+  if (action == "index")
+    item.action = BulkItem::Action::index;
+  else if (action == "create")
+    item.action = BulkItem::Action::create;
+  else if (action == "update")
+    item.action = BulkItem::Action::update;
+  else if (action == "delete")
+    item.action = BulkItem::Action::erase;
+  else
+    malformed("expected one of [create, delete, index, update] but found [" + shortened(action, 40) + "]");
+  if (!options.object()) malformed("expected an object behind [" + action + "]");
+  item.index = default_index_;
+  for (const auto& [name, value] : *options.object()) {
+    const auto text_in = [&](std::string& into) {
+      if (value.string())
+        into = *value.string();
+      else if (value.number())
+        into = json::write(value);
+      else
+        item.problem = "[" + name + "] must be text";
+    };
+    if (name == "_index")
+      text_in(item.index);
+    else if (name == "_id")
+      text_in(item.id);
+    else if (name == "routing" || name == "_routing")
+      text_in(item.routing);
+    else if (name == "require_alias" && value == json::Value(false))
+      continue;
+    else if (name == "op_type" && value == json::Value("create"))
+      item.action = BulkItem::Action::create;
+    else if (name == "op_type" && value == json::Value("index"))
+      continue;
+    else
+      item.problem = "Action/metadata line [" + std::to_string(lines_) + "] contains a parameter [" +
+                     shortened(name, 40) + "] that is not taken";
+  }
+  if (item.index.empty() && item.problem.empty()) item.problem = "index is missing";
+  if (item.id.size() > 512) item.problem = "id is too long, must be no longer than 512 bytes";
+  if (item.action == BulkItem::Action::erase) return item;
+  waiting_ = std::move(item);
+  return std::nullopt;
+}
+
+std::string write_key(std::string_view client_key, std::string_view index, std::string_view id,
+                      std::string_view document) {
+  unsigned char hash[16];
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, sizeof hash);
+  for (const std::string_view part : {client_key, index, id, document}) {
+    const std::string size = std::to_string(part.size()) + ":";
+    for (const std::string_view bytes : {std::string_view(size), part})
+      crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
+  }
+  crypto_generichash_final(&state, hash, sizeof hash);
+  char text[2 * sizeof hash + 1];
+  sodium_bin2hex(text, sizeof text, hash, sizeof hash);
+  return text;
+}
+
+}  // namespace kelpdeal::search
--- /dev/null
+++ b/src/search/cursor.cpp
@@ -0,0 +1,294 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/cursor.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+
+namespace kelpdeal::search {
+namespace {
+
+constexpr char kVersion = 1;
+constexpr std::size_t kMac = crypto_auth_BYTES;
+static_assert(crypto_auth_KEYBYTES == 32);
+
+std::int64_t to_ms(WallClock::time_point time) {
+  return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+WallClock::time_point from_ms(double ms) {
+  return WallClock::time_point(Milliseconds(static_cast<std::int64_t>(ms)));
+}
+
+json::Value write_position(const Position& position) {
+  return json::Object{{"k", position.keys}, {"s", position.slice}, {"i", position.id}};
+}
+Position read_position(const json::Value& value) {
+  Position position;
+  if (const json::Value* keys = value.find("k"); keys && keys->array()) position.keys = *keys->array();
+  position.slice = static_cast<int>(value.number_or("s", -1));
+  position.id = value.text_or("i", "");
+  return position;
+}
+
+std::string mac_of(const CursorKey& key, std::string_view bytes) {
+  std::string mac(kMac, '\0');
+  crypto_auth(reinterpret_cast<unsigned char*>(mac.data()),
+              reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(), key.secret.data());
+  return mac;
+}
+
+}  // namespace
+
+std::optional<std::vector<CursorKey>> read_cursor_keys(std::string_view text, std::string& problem) {
+  std::vector<CursorKey> keys;
+  int line_number = 0;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t end = std::min(text.find('\n', at), text.size());
+    std::string_view line = text.substr(at, end - at);
+    at = end + 1;
+    ++line_number;
+    line = line.substr(0, line.find('#'));
+    while (!line.empty() && static_cast<unsigned char>(line.back()) <= ' ') line.remove_suffix(1);
+    if (line.empty()) continue;
+    const std::size_t space = line.find(' ');
+    CursorKey key;
+    key.name = line.substr(0, space);
+    const std::string_view hex = space == std::string_view::npos ? "" : line.substr(space + 1);
+    std::size_t size = 0;
+    const bool read = hex.size() == 64 && sodium_hex2bin(key.secret.data(), key.secret.size(), hex.data(),
+                                                         hex.size(), nullptr, &size, nullptr) == 0;
+    if (key.name.size() > 32 || !read || size != key.secret.size()) {
+      problem = "line " + std::to_string(line_number) + " is not NAME and 64 hexadecimal digits";
+      return std::nullopt;
+    }
+    keys.push_back(std::move(key));
+  }
+  if (keys.empty()) return problem = "it holds no key", std::nullopt;
+  return keys;
+}
+
+CursorSeal::CursorSeal(std::vector<CursorKey> keys) : keys_(std::move(keys)) {}
+
+std::string CursorSeal::seal(std::string_view payload) const {
+  const CursorKey& key = keys_.front();
+  std::string bytes{kVersion, static_cast<char>(key.name.size())};
+  bytes.append(key.name).append(payload);
+  bytes += mac_of(key, bytes);
+  std::string out(sodium_base64_ENCODED_LEN(bytes.size(), sodium_base64_VARIANT_URLSAFE_NO_PADDING), '\0');
+  sodium_bin2base64(out.data(), out.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+  out.resize(out.find('\0'));
+  return out;
+}
+
+std::optional<std::string> CursorSeal::open(std::string_view id) const {
+  std::string bytes(id.size(), '\0');
+  std::size_t size = 0;
+  if (sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), id.data(), id.size(),
+                        nullptr, &size, nullptr, sodium_base64_VARIANT_URLSAFE_NO_PADDING) != 0)
+    return std::nullopt;
+  bytes.resize(size);
+  if (size < 2 + kMac || bytes[0] != kVersion) return std::nullopt;
+  const std::size_t name = static_cast<unsigned char>(bytes[1]);
+  if (size < 2 + name + kMac) return std::nullopt;
+  const std::string_view signed_part(bytes.data(), size - kMac);
+  for (const CursorKey& key : keys_) {
+    if (signed_part.substr(2, name) != key.name) continue;
+    const std::string mac = mac_of(key, signed_part);
+    if (sodium_memcmp(mac.data(), bytes.data() + size - kMac, kMac) == 0)
+      return std::string(signed_part.substr(2 + name));
+  }
+  return std::nullopt;
+}
+
+json::Value write_cursor(const Cursor& c) {
+  json::Array indices(c.indices.begin(), c.indices.end()), finished;
+  for (const int slice : c.finished) finished.emplace_back(slice);
+  json::Array behind;
+  for (const auto& [slice, position] : c.behind)
+    behind.push_back(json::Array{slice, position ? write_position(*position) : json::Value()});
+  json::Object out{{"kind", c.kind == Cursor::Kind::scroll ? "scroll" : "point"},
+                   {"n", std::to_string(c.number)},
+                   {"team", c.team},
+                   {"from", to_ms(c.opened)},
+                   {"to", to_ms(c.expires)},
+                   {"in", std::move(indices)},
+                   {"f", json::Array(c.filters)},
+                   {"r", c.routing}};
+  if (c.kind == Cursor::Kind::point) return out;
+  out.emplace_back("q", c.search);
+  out.emplace_back("typed", c.typed_keys);
+  out.emplace_back("int", c.total_as_number);
+  if (c.at) out.emplace_back("at", write_position(*c.at));
+  if (!behind.empty()) out.emplace_back("behind", std::move(behind));
+  out.emplace_back("done", std::move(finished));
+  out.emplace_back("total", c.total);
+  if (c.max_score) out.emplace_back("max", *c.max_score);
+  return out;
+}
+
+std::optional<Cursor> read_cursor(const json::Value& value) {
+  if (!value.object()) return std::nullopt;
+  Cursor c;
+  c.kind = value.text_or("kind", "") == "scroll" ? Cursor::Kind::scroll : Cursor::Kind::point;
+  c.number = std::strtoull(value.text_or("n", "0").c_str(), nullptr, 10);
+  c.team = value.text_or("team", "");
+  c.opened = from_ms(value.number_or("from", 0));
+  c.expires = from_ms(value.number_or("to", 0));
+  c.routing = value.text_or("r", "");
+  const auto list = [&](const char* name) -> const json::Array& {
+    static const json::Array none;
+    const json::Value* found = value.find(name);
+    return found && found->array() ? *found->array() : none;
+  };
+  for (const json::Value& name : list("in"))
+    if (name.string()) c.indices.push_back(*name.string());
+  c.filters = list("f");
+  c.filters.resize(c.indices.size());
+  if (const json::Value* search = value.find("q")) c.search = *search;
+  c.typed_keys = value.flag_or("typed", false);
+  c.total_as_number = value.flag_or("int", false);
+  if (const json::Value* at = value.find("at")) c.at = read_position(*at);
+  for (const json::Value& entry : list("behind")) {
+    if (!entry.array() || entry.array()->size() != 2 || !entry.array()->front().number()) return std::nullopt;
+    const json::Value& position = entry.array()->back();
+    c.behind[static_cast<int>(*entry.array()->front().number())] =
+        position.is_null() ? std::nullopt : std::optional(read_position(position));
+  }
+  for (const json::Value& slice : list("done"))
+    if (slice.number()) c.finished.insert(static_cast<int>(*slice.number()));
+  c.total = static_cast<std::uint64_t>(value.number_or("total", 0));
+  if (const json::Value* score = value.find("max"); score && score->number()) c.max_score = *score->number();
+  return c;
+}
+
+json::Value search_form(const SearchRequest& request) {
+  json::Object out;
+  if (!request.query.is_null()) out.emplace_back("query", request.query);
+  out.emplace_back("size", static_cast<std::uint64_t>(request.size));
+  json::Array sort = request.sort.written();
+  sort.resize(request.shown_keys);
+  if (!sort.empty()) out.emplace_back("sort", std::move(sort));
+  if (request.track_scores) out.emplace_back("track_scores", true);
+  if (request.timeout)
+    out.emplace_back(
+        "timeout", std::to_string(std::chrono::duration_cast<Milliseconds>(*request.timeout).count()) + "ms");
+  if (request.partition)
+    out.emplace_back("slice", json::Object{{"id", static_cast<std::uint64_t>(request.partition->first)},
+                                           {"max", static_cast<std::uint64_t>(request.partition->second)}});
+  out.insert(out.end(), request.members.begin(), request.members.end());
+  return out;
+}
+
+std::vector<std::pair<int, const Position*>> slices_needed(const Cursor& cursor,
+                                                           const std::vector<int>& slices) {
+  std::vector<std::pair<int, const Position*>> needed;
+  for (const int slice : slices) {
+    if (cursor.finished.contains(slice)) continue;
+    const auto behind = cursor.behind.find(slice);
+    if (behind != cursor.behind.end())
+      needed.emplace_back(slice, behind->second ? &*behind->second : nullptr);
+    else
+      needed.emplace_back(slice, cursor.at ? &*cursor.at : nullptr);
+  }
+  return needed;
+}
+
+namespace {
+
+// Nothing stands before the first hit.
+bool before(const SortOrder& order, const std::optional<Position>& a, const std::optional<Position>& b) {
+  if (!a || !b) return !a && b;
+  // The last key of the order is the id.
+  const int keys = compare(order, a->keys, b->keys, order.fields.size() - 1);
+  if (keys != 0) return keys < 0;
+  return a->slice != b->slice ? a->slice < b->slice : a->id < b->id;
+}
+
+}  // namespace
+
+void advance(Cursor& cursor, const SortOrder& order, const Page& page, const std::vector<int>& asked,
+             const std::vector<int>& missing) {
+  // A slice that was not in goes on from where it stood before this page. One that was behind and is in now
+  // has given its hits up to the end of this page, which may lie before where the others stand.
+  const std::optional<Position> old = cursor.at;
+  const auto later = [&](const std::optional<Position>& a, const std::optional<Position>& b) {
+    return before(order, a, b) ? b : a;
+  };
+  cursor.at = later(cursor.at, page.last);
+  for (const int slice : asked) {
+    const auto own = cursor.behind.find(slice);
+    std::optional<Position> stands = own == cursor.behind.end() ? old : own->second;
+    if (std::find(missing.begin(), missing.end(), slice) == missing.end()) stands = later(stands, page.last);
+    if (before(order, stands, cursor.at)) {
+      cursor.behind[slice] = std::move(stands);
+    } else {
+      cursor.behind.erase(slice);
+    }
+  }
+  for (const int slice : page.finished) cursor.finished.insert(slice);
+}
+
+// ---- the book ----
+void CursorBook::forget(WallClock::time_point now) {
+  // Sweeping all at every call would cost what the book holds.
+  if (now - swept_ < std::chrono::seconds(1) && entries_.size() < bounds_.in_all) return;
+  swept_ = now;
+  std::erase_if(entries_, [&](const auto& entry) { return entry.second.expires <= now; });
+  std::erase_if(cleared_, [&](const auto& entry) { return entry.second <= now; });
+}
+
+std::size_t CursorBook::held_by(const std::string& team) const {
+  return static_cast<std::size_t>(std::count_if(
+      entries_.begin(), entries_.end(), [&](const auto& entry) { return entry.second.team == team; }));
+}
+
+bool CursorBook::open(const Cursor& cursor, WallClock::time_point now) {
+  forget(now);
+  if (entries_.size() >= bounds_.in_all || held_by(cursor.team) >= bounds_.of_team) return false;
+  entries_[cursor.number] = {cursor.team, cursor.kind, cursor.opened, cursor.expires};
+  return true;
+}
+
+bool CursorBook::renew(const Cursor& cursor, WallClock::time_point now) {
+  forget(now);
+  if (cleared_.contains(cursor.number)) return false;
+  const auto all = cleared_all_.find({cursor.team, cursor.kind});
+  if (all != cleared_all_.end() && cursor.opened <= all->second) return false;
+  const auto known = entries_.find(cursor.number);
+  if (known != entries_.end()) {
+    known->second.expires = std::max(known->second.expires, cursor.expires);
+    return true;
+  }
+  // One that another coordinator opened is served even where the book is full: it was admitted once.
+  if (entries_.size() < bounds_.in_all)
+    entries_[cursor.number] = {cursor.team, cursor.kind, cursor.opened, cursor.expires};
+  return true;
+}
+
+bool CursorBook::clear(const Cursor& cursor, WallClock::time_point now) {
+  forget(now);
+  entries_.erase(cursor.number);
+  // Guards against a book that grows with what is cleared: beyond the bound the soonest to expire goes.
+  if (cleared_.size() >= 2 * bounds_.in_all)
+    cleared_.erase(std::min_element(cleared_.begin(), cleared_.end(),
+                                    [](const auto& a, const auto& b) { return a.second < b.second; }));
+  return cleared_.emplace(cursor.number, cursor.expires).second;
+}
+
+std::size_t CursorBook::clear_all(const std::string& team, Cursor::Kind kind, WallClock::time_point now) {
+  forget(now);
+  cleared_all_[{team, kind}] = now;
+  return std::erase_if(
+      entries_, [&](const auto& entry) { return entry.second.team == team && entry.second.kind == kind; });
+}
+
+std::map<std::uint64_t, CursorBook::Entry> CursorBook::of(const std::string& team, Cursor::Kind kind,
+                                                          WallClock::time_point now) {
+  std::map<std::uint64_t, Entry> found;
+  for (const auto& [number, entry] : entries_)
+    if (entry.team == team && entry.kind == kind && entry.expires > now) found.emplace(number, entry);
+  return found;
+}
+
+}  // namespace kelpdeal::search
--- /dev/null
+++ b/src/search/dates.cpp
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/dates.h"
+
+#include <charconv>
+#include <chrono>
+
+namespace kelpdeal::search {
+namespace {
+
+using std::chrono::days;
+using std::chrono::sys_days;
+using std::chrono::year_month_day;
+
+constexpr std::int64_t kSecond = 1000, kMinute = 60 * kSecond, kHour = 60 * kMinute, kDay = 24 * kHour;
+
+std::int64_t floor_div(std::int64_t a, std::int64_t b) { return a / b - (a % b != 0 && (a < 0) != (b < 0)); }
+
+year_month_day date_of(std::int64_t ms) { return year_month_day(sys_days(days(floor_div(ms, kDay)))); }
+std::int64_t ms_of(year_month_day date) { return sys_days(date).time_since_epoch().count() * kDay; }
+
+// So many digits at `at`; below 0 if they are not there.
+int digits(std::string_view text, std::size_t& at, std::size_t count) {
+  if (at + count > text.size()) return -1;
+  int value = 0;
+  const auto got = std::from_chars(text.data() + at, text.data() + at + count, value);
+  if (got.ec != std::errc() || got.ptr != text.data() + at + count || text[at] == '-') return -1;
+  at += count;
+  return value;
+}
+
+bool take(std::string_view text, std::size_t& at, char c) {
+  if (at >= text.size() || text[at] != c) return false;
+  ++at;
+  return true;
+}
+
+std::string padded(std::int64_t value, std::size_t width) {
+  std::string out = std::to_string(value);
+  return out.size() < width ? std::string(width - out.size(), '0') + out : out;
+}
+
+std::int64_t add(std::int64_t ms, char unit, std::int64_t amount) {
+  switch (unit) {
+    case 's':
+      return ms + amount * kSecond;
+    case 'm':
+      return ms + amount * kMinute;
+    case 'h':
+    case 'H':
+      return ms + amount * kHour;
+    case 'd':
+      return ms + amount * kDay;
+    case 'w':
+      return ms + amount * 7 * kDay;
+    default:
+      break;
+  }
+  const std::int64_t in_day = ms - floor_div(ms, kDay) * kDay;
+  const auto months = std::chrono::months(unit == 'y' ? 12 * amount : amount);
+  year_month_day moved = date_of(ms) + months;
+  if (!moved.ok()) moved = moved.year() / moved.month() / std::chrono::last;
+  return ms_of(moved) + in_day;
+}
+
+}  // namespace
+
+std::optional<std::int64_t> fixed_zone(std::string_view zone) {
+  if (zone.empty() || zone == "UTC" || zone == "Z" || zone == "GMT" || zone == "Etc/UTC") return 0;
+  if (zone[0] != '+' && zone[0] != '-') return std::nullopt;
+  std::size_t at = 1;
+  const int hours = digits(zone, at, 2);
+  if (hours < 0 || hours > 18) return std::nullopt;
+  take(zone, at, ':');
+  const int minutes = at == zone.size() ? 0 : digits(zone, at, 2);
+  if (minutes < 0 || minutes > 59 || at != zone.size()) return std::nullopt;
+  const std::int64_t ms = hours * kHour + minutes * kMinute;
+  return zone[0] == '-' ? -ms : ms;
+}
+
+std::optional<std::int64_t> parse_date(std::string_view text) {
+  std::int64_t number = 0;
+  const auto got = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (!text.empty() && got.ec == std::errc() && got.ptr == text.data() + text.size() &&
+      (text.size() != 4 || text[0] == '-'))
+    return number;
+  std::size_t at = 0;
+  int month = 1, day = 1;
+  const int year = digits(text, at, 4);
+  if (year < 0) return std::nullopt;
+  if (take(text, at, '-') && (month = digits(text, at, 2)) < 0) return std::nullopt;
+  if (take(text, at, '-') && (day = digits(text, at, 2)) < 0) return std::nullopt;
+  if (month < 1 || month > 12 || day < 1 || day > 31) return std::nullopt;
+  const year_month_day date(std::chrono::year(year), std::chrono::month(static_cast<unsigned>(month)),
+                            std::chrono::day(static_cast<unsigned>(day)));
+  if (!date.ok()) return std::nullopt;
+  std::int64_t ms = ms_of(date);
+  if (take(text, at, 'T') && at < text.size()) {
+    const int hour = digits(text, at, 2);
+    if (hour < 0 || hour > 23) return std::nullopt;
+    ms += hour * kHour;
+    for (const std::int64_t unit : {kMinute, kSecond}) {
+      if (!take(text, at, ':')) break;
+      const int value = digits(text, at, 2);
+      if (value < 0 || value > 59) return std::nullopt;
+      ms += value * unit;
+    }
+    if (take(text, at, '.') || take(text, at, ',')) {
+      std::int64_t scale = 100;
+      std::size_t count = 0;
+      for (; at < text.size() && text[at] >= '0' && text[at] <= '9' && count < 9; ++at, ++count, scale /= 10)
+        ms += (text[at] - '0') * scale;
+      if (count == 0) return std::nullopt;
+    }
+  }
+  if (at == text.size()) return ms;
+  const auto zone = fixed_zone(text.substr(at));
+  if (!zone) return std::nullopt;
+  return ms - *zone;
+}
+
+std::optional<std::string> format_date(std::int64_t ms, std::string_view pattern, std::int64_t zone_ms) {
+  if (pattern == "epoch_millis") return std::to_string(ms);
+  if (pattern == "epoch_second") return std::to_string(floor_div(ms, kSecond));
+  const std::int64_t local = ms + zone_ms;
+  const year_month_day date = date_of(local);
+  const std::int64_t in_day = local - floor_div(local, kDay) * kDay;
+  std::string zone = "Z";
+  if (zone_ms != 0) {
+    const std::int64_t size = zone_ms < 0 ? -zone_ms : zone_ms;
+    zone = (zone_ms < 0 ? "-" : "+") + padded(size / kHour, 2) + ":" + padded(size / kMinute % 60, 2);
+  }
+  if (pattern == "date" || pattern == "strict_date" || pattern == "yyyy-MM-dd") pattern = "yyyy-MM-dd";
+  const bool iso = pattern.empty() || pattern == "date_time" || pattern == "strict_date_time" ||
+                   pattern.starts_with("strict_date_optional_time") ||
+                   pattern.starts_with("date_optional_time");
+  if (iso) return *format_date(ms, "yyyy-MM-dd'T'HH:mm:ss.SSS", zone_ms) + zone;
+  std::string out;
+  for (std::size_t at = 0; at < pattern.size();) {
+    const char c = pattern[at];
+    if (c == '\'') {
+      const std::size_t end = pattern.find('\'', at + 1);
+      if (end == std::string_view::npos) return std::nullopt;
+      out += end == at + 1 ? "'" : pattern.substr(at + 1, end - at - 1);
+      at = end + 1;
+      continue;
+    }
+    std::size_t count = 1;
+    while (at + count < pattern.size() && pattern[at + count] == c) ++count;
+    const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    if (c == 'y' || c == 'u')
+      out += padded(count == 2 ? static_cast<int>(date.year()) % 100 : static_cast<int>(date.year()), count);
+    else if (c == 'M' && count <= 2)
+      out += padded(static_cast<unsigned>(date.month()), count);
+    else if (c == 'd' && count <= 2)
+      out += padded(static_cast<unsigned>(date.day()), count);
+    else if (c == 'H')
+      out += padded(in_day / kHour, count);
+    else if (c == 'm')
+      out += padded(in_day / kMinute % 60, count);
+    else if (c == 's')
+      out += padded(in_day / kSecond % 60, count);
+    else if (c == 'S' && count <= 3)
+      out += padded(in_day % 1000, 3).substr(0, count);
+    else if (c == 'X')
+      out += zone;
+    else if (letter)
+      return std::nullopt;
+    else
+      out.append(count, c);
+    at += count;
+  }
+  return out;
+}
+
+std::int64_t floor_to(std::int64_t ms, std::string_view unit, std::int64_t zone_ms) {
+  const std::int64_t local = ms + zone_ms;
+  const auto plain = [&](std::int64_t span) { return floor_div(local, span) * span - zone_ms; };
+  if (unit == "second") return plain(kSecond);
+  if (unit == "minute") return plain(kMinute);
+  if (unit == "hour") return plain(kHour);
+  if (unit == "day") return plain(kDay);
+  if (unit == "week")
+    return floor_div(local + 3 * kDay, 7 * kDay) * 7 * kDay - 3 * kDay - zone_ms;  // Mondays
+  const year_month_day date = date_of(local);
+  auto month = static_cast<unsigned>(date.month());
+  if (unit == "quarter") month = (month - 1) / 3 * 3 + 1;
+  if (unit == "year") month = 1;
+  return ms_of(date.year() / std::chrono::month(month) / 1) - zone_ms;
+}
+
+std::int64_t next_of(std::int64_t start, std::string_view unit, std::int64_t zone_ms) {
+  static constexpr std::pair<std::string_view, std::int64_t> spans[] = {
+      {"second", kSecond}, {"minute", kMinute}, {"hour", kHour}, {"day", kDay}, {"week", 7 * kDay}};
+  for (const auto& [name, span] : spans)
+    if (unit == name) return start + span;
+  const int months = unit == "month" ? 1 : unit == "quarter" ? 3 : 12;
+  return add(start + zone_ms, 'M', months) - zone_ms;
+}
+
+std::string_view calendar_unit(std::string_view text) {
+  static constexpr std::string_view units[][3] = {
+      {"minute", "1m", "m"}, {"hour", "1h", "h"},    {"day", "1d", "d"}, {"week", "1w", "w"},
+      {"month", "1M", "M"},  {"quarter", "1q", "q"}, {"year", "1y", "y"}};
+  for (const auto& unit : units)
+    for (const std::string_view name : unit)
+      if (text == name) return unit[0];
+  return {};
+}
+
+std::optional<std::int64_t> date_math(std::string_view text, std::int64_t now_ms) {
+  std::int64_t ms = now_ms;
+  if (text.starts_with("now")) {
+    text.remove_prefix(3);
+  } else if (const std::size_t bars = text.find("||"); bars != std::string_view::npos) {
+    const auto anchor = parse_date(text.substr(0, bars));
+    if (!anchor) return std::nullopt;
+    ms = *anchor;
+    text.remove_prefix(bars + 2);
+  } else {
+    return std::nullopt;
+  }
+  for (std::size_t at = 0; at < text.size();) {
+    const char sign = text[at++];
+    if (sign == '/') {
+      if (at >= text.size()) return std::nullopt;
+      const std::string_view unit = text[at] == 's'   ? "second"
+                                    : text[at] == 'H' ? "hour"
+                                                      : calendar_unit(text.substr(at, 1));
+      if (unit.empty()) return std::nullopt;
+      ms = floor_to(ms, unit, 0);
+      ++at;
+      continue;
+    }
+    if (sign != '+' && sign != '-') return std::nullopt;
+    int amount = 1;
+    const auto got = std::from_chars(text.data() + at, text.data() + text.size(), amount);
+    if (got.ec == std::errc()) at = static_cast<std::size_t>(got.ptr - text.data());
+    // Guards against a date that no calendar reaches.
+    if (at >= text.size() || std::string_view("smhHdwMy").find(text[at]) == std::string_view::npos ||
+        amount < 0 || amount > 100'000)
+      return std::nullopt;
+    ms = add(ms, text[at++], sign == '-' ? -amount : amount);
+  }
+  return ms;
+}
+
+}  // namespace kelpdeal::search
--- /dev/null
+++ b/src/search/parameters.cpp
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/parameters.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "kelpdeal/search/api_error.h"
+
+namespace kelpdeal::search {
+
+bool read_flag(std::string_view text, std::string_view name) {
+  if (text == "true" || text.empty()) return true;
+  if (text == "false") return false;
+  illegal("Failed to parse value [" + shortened(text, 40) + "] of [" + std::string(name) +
+          "] as only [true] or [false] are allowed.");
+}
+
+std::size_t read_count(std::string_view text, std::string_view name, std::size_t most) {
+  std::size_t value = 0;
+  const auto got = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || got.ec != std::errc() || got.ptr != text.data() + text.size() || value > most)
+    illegal("failed to parse [" + std::string(name) + "] with value [" + shortened(text, 40) +
+            "]: it must be a whole number from 0 to " + std::to_string(most));
+  return value;
+}
+
+std::optional<std::string> Parameters::get(std::string_view name) {
+  known_.emplace(name);
+  for (const auto& [key, value] : given_)
+    if (key == name) return value;
+  return std::nullopt;
+}
+
+std::optional<bool> Parameters::flag(std::string_view name) {
+  const auto text = get(name);
+  if (!text) return std::nullopt;
+  return read_flag(*text, name);
+}
+
+std::optional<std::size_t> Parameters::count(std::string_view name, std::size_t most) {
+  const auto text = get(name);
+  if (!text) return std::nullopt;
+  return read_count(*text, name, most);
+}
+
+void Parameters::accept(std::string_view names) {
+  for (std::size_t at = 0; at < names.size();) {
+    const std::size_t end = std::min(names.find(' ', at), names.size());
+    known_.emplace(names.substr(at, end - at));
+    at = end + 1;
+  }
+}
+
+void Parameters::set(const std::string& name, std::string value) {
+  std::erase_if(given_, [&](const auto& one) { return one.first == name; });
+  given_.emplace_back(name, std::move(value));
+}
+
+void Parameters::check(std::string_view path) const {
+  std::string unknown;
+  for (const auto& [key, value] : given_)
+    if (!known_.contains(key)) unknown += (unknown.empty() ? "[" : ", [") + shortened(key, 40) + "]";
+  if (!unknown.empty())
+    illegal("request [" + shortened(path) + "] contains unrecognized parameter: " + unknown);
+}
+
+}  // namespace kelpdeal::search
