--- /dev/null
+++ b/src/search/reduce.cpp
@@ -0,0 +1,320 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/reduce.h"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+namespace kelpdeal::search {
+namespace {
+
+std::optional<double> number_in(std::string_view raw) {
+  double value = 0;
+  const auto got = std::from_chars(raw.data(), raw.data() + raw.size(), value);
+  if (raw.empty() || got.ec != std::errc() || got.ptr != raw.data() + raw.size()) return std::nullopt;
+  return value;
+}
+
+// "hits" of a search's answer, if it is one.
+std::optional<std::string_view> hits_of(std::string_view value) {
+  const auto hits = json::member(value, "hits");
+  if (!hits || !json::Walk(*hits).is_object()) return std::nullopt;
+  const auto list = json::member(*hits, "hits");
+  if (!list || !json::Walk(*list).is_array()) return std::nullopt;
+  return hits;
+}
+
+// A slice that says that the request is at fault: its answer is the client's.
+std::optional<ApiError> fault_of(std::string_view value) {
+  const auto error = json::member(value, "error"), status = json::member(value, "status");
+  if (!error || !status || !json::Walk(*error).is_object() || !json::valid(value)) return std::nullopt;
+  std::string problem;
+  const json::Value read = json::parse(*error, problem).value_or(json::Value());
+  const double code = json::parse(*status, problem).value_or(json::Value()).number()
+                          ? *json::parse(*status, problem)->number()
+                          : 0;
+  if (code < 400 || code >= 429) return std::nullopt;
+  const json::Value* cause = read.find("root_cause");
+  const json::Value& told =
+      cause && cause->array() && !cause->array()->empty() ? cause->array()->front() : read;
+  return ApiError{static_cast<int>(code),
+                  told.text_or("type", "illegal_argument_exception"),
+                  told.text_or("reason", "a slice refused the request"),
+                  {},
+                  {}};
+}
+
+json::Array read_array(std::string_view raw) {
+  std::string error;
+  auto value = json::parse(raw, error);
+  if (!value || !value->array()) return {};
+  return std::move(*value->array());
+}
+
+}  // namespace
+
+Reducer::Reducer(const SearchRequest& request, const AggregationBounds& bounds,
+                 std::function<std::string(int)> index_of)
+    : request_(request),
+      index_of_(std::move(index_of)),
+      most_(request.from + request.size),
+      aggregations_(request.aggregations, bounds) {}
+
+bool Reducer::usable(int, int, const std::string& value) {
+  const auto hits = hits_of(value);
+  if (!hits && fault_of(value)) return true;
+  if (!hits) {
+    // Guards against a wrong order: text of a node's own has no sort values, counts or buckets.
+    return !request_.sorted() && request_.aggregations.empty() && request_.collapse.empty();
+  }
+  if (!json::valid(value)) return false;
+  if (!request_.aggregations.empty()) {
+    const auto aggregations = json::member(value, "aggregations");
+    if (!aggregations || !AggregationReduce::usable(request_.aggregations, *aggregations)) return false;
+  }
+  if (!request_.sorted()) return true;
+  json::Walk list(*json::member(*hits, "hits"));
+  while (list.next()) {
+    const auto keys = json::member(list.raw(), "sort");
+    if (!keys) return false;
+    std::size_t count = 0;
+    json::Walk walk(*keys);
+    while (walk.next()) ++count;
+    if (count != request_.sort.fields.size()) return false;
+  }
+  return true;
+}
+
+void Reducer::take(int step, int shard, double score, std::string value) {
+  try {
+    const auto hits = hits_of(value);
+    if (auto fault = hits ? std::nullopt : fault_of(value)) {
+      if (!conflict_) conflict_ = std::move(fault);
+      return;
+    }
+    if (!hits) return take_plain(step, shard, score, std::move(value));
+    if (step > 1) return replace(shard, *json::member(*hits, "hits"));
+    take_search(shard, value);
+  } catch (const ApiError& error) {
+    if (!conflict_) conflict_ = error;
+  }
+}
+
+// A later step fetches again what an earlier one found.
+void Reducer::replace(int shard, std::string_view hits) {
+  json::Walk walk(hits);
+  while (walk.next()) {
+    Hit fetched;
+    if (!read_hit(walk.raw(), shard, 0, fetched)) continue;
+    for (Hit& hit : top_)
+      if (hit.slice == shard && hit.id == fetched.id && !hit.plain) {
+        hit.raw = fetched.raw;
+        write_hit(hit);
+      }
+  }
+}
+
+void Reducer::take_search(int shard, std::string_view value) {
+  json::Walk walk(value);
+  while (walk.next()) {
+    if (walk.name() == "aggregations") aggregations_.add(walk.raw());
+    if (walk.name() == "terminated_early") terminated_early_ |= walk.raw() == "true";
+    if (walk.name() != "hits") continue;
+    std::optional<std::string_view> list;
+    json::Walk hits(walk.raw());
+    while (hits.next()) {
+      if (hits.name() == "total") read_total(hits.raw());
+      if (hits.name() == "hits") list = hits.raw();
+      if (hits.name() == "max_score")
+        if (const auto score = number_in(hits.raw()))
+          max_score_ = std::max(max_score_.value_or(*score), *score);
+    }
+    if (list) merge(shard, *list);
+  }
+}
+
+void Reducer::read_total(std::string_view raw) {
+  std::string_view number = raw;
+  if (json::Walk(raw).is_object()) {
+    number = json::member(raw, "value").value_or("0");
+    total_above_ |= json::member(raw, "relation").value_or("") == "\"gte\"";
+  }
+  total_ += static_cast<std::uint64_t>(std::max(0.0, number_in(number).value_or(0)));
+}
+
+bool Reducer::read_hit(std::string_view raw, int shard, double score, Hit& hit) const {
+  json::Walk walk(raw);
+  if (!walk.is_object()) return false;
+  hit.raw = raw;
+  hit.slice = shard;
+  hit.score = score;
+  while (walk.next()) {
+    if (walk.name() == "_id")
+      hit.id = json::unquote(walk.raw());
+    else if (walk.name() == "_score")
+      hit.score = number_in(walk.raw()).value_or(score);
+    else if (walk.name() == "sort" && request_.sorted())
+      hit.keys = read_array(walk.raw());
+    else if (walk.name() == "fields" && !request_.collapse.empty())
+      hit.group = json::member(walk.raw(), request_.collapse).value_or("");
+  }
+  return true;
+}
+
+// The hit as the client sees it: under its index's name, with the sort values that were asked for.
+void Reducer::write_hit(Hit& hit) const {
+  const std::string_view raw = std::exchange(hit.raw, {});
+  std::string out = "{\"_index\":" + json::quote(index_of_(hit.slice));
+  out.reserve(raw.size() + out.size() + 2);
+  json::Walk walk(raw);
+  while (walk.next()) {
+    if (walk.name() == "_index") continue;
+    if (walk.name() == "sort") {
+      if (request_.shown_keys == 0 && !request_.pit) continue;
+      const std::size_t shown = request_.pit ? hit.keys.size() - 1 : request_.shown_keys;
+      out += ",\"sort\":[";
+      json::Walk keys(walk.raw());
+      for (std::size_t i = 0; i < shown && keys.next(); ++i) out.append(i ? "," : "").append(keys.raw());
+      // Of a point in time, the mark that the next page goes on from.
+      if (request_.pit)
+        out.append(shown ? "," : "").append(json::quote(std::to_string(hit.slice) + "/" + hit.id));
+      out += ']';
+      continue;
+    }
+    out.append(",\"").append(walk.name()).append("\":").append(walk.raw());
+  }
+  hit.text = out + "}";
+}
+
+bool Reducer::before(const Hit& a, const Hit& b) const {
+  if (request_.sorted()) {
+    // The document's id is the last key of a total order; the slice counts before it.
+    const std::size_t keys = request_.sort.fields.size();
+    const std::size_t leading = request_.total_order ? keys - 1 : keys;
+    if (const int order = compare(request_.sort, a.keys, b.keys, leading); order != 0) return order < 0;
+    if (request_.total_order && a.slice == b.slice)
+      if (const int order = compare(request_.sort, a.keys, b.keys); order != 0) return order < 0;
+  } else if (a.score != b.score) {
+    return a.score > b.score;
+  }
+  return a.slice != b.slice ? a.slice < b.slice : a.rank < b.rank;
+}
+
+void Reducer::merge(int shard, std::string_view list) {
+  Slice& slice = slices_[shard];
+  std::vector<Hit> sorted;
+  json::Walk walk(list);
+  bool in_order = true;
+  while (walk.next()) {
+    ++slice.given;
+    // A slice gives its best first: behind one that is no better than all we hold, none is.
+    const bool over = top_.size() >= most_ && !sorted.empty() && in_order && request_.collapse.empty() &&
+                      !before(sorted.back(), top_.back());
+    if (over) {
+      if (!request_.total_order) return merge(std::move(sorted));
+      continue;  // still counted
+    }
+    Hit hit;
+    if (!read_hit(walk.raw(), shard, 0, hit)) continue;
+    hit.rank = slice.given;
+    if (!sorted.empty() && before(hit, sorted.back())) in_order = false;
+    sorted.push_back(std::move(hit));
+  }
+  slice.short_of = slice.given < most_;
+  if (!in_order)
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [this](const Hit& a, const Hit& b) { return before(a, b); });
+  merge(std::move(sorted));
+}
+
+void Reducer::merge(std::vector<Hit> sorted) {
+  if (sorted.empty()) return;
+  std::vector<Hit> merged;
+  merged.reserve(std::min(most_, top_.size() + sorted.size()));
+  std::set<std::string_view> groups;
+  std::size_t a = 0, b = 0;
+  while (merged.size() < most_ && (a < top_.size() || b < sorted.size())) {
+    const bool fresh = a == top_.size() || (b < sorted.size() && before(sorted[b], top_[a]));
+    Hit& next = fresh ? sorted[b++] : top_[a++];
+    if (fresh && !next.plain) write_hit(next);
+    merged.push_back(std::move(next));
+    if (request_.collapse.empty()) continue;
+    // Of each group only the best is shown; a missing value is a group too.
+    if (!groups.insert(merged.back().group).second) merged.pop_back();
+  }
+  top_ = std::move(merged);
+}
+
+void Reducer::take_plain(int step, int shard, double score, std::string value) {
+  if (step > plain_step_) {
+    // Values of a later step take the place of those of the one before.
+    std::erase_if(top_, [](const Hit& hit) { return hit.plain; });
+    plain_count_ = 0;
+    plain_step_ = step;
+  }
+  std::vector<Hit> hits;
+  if (json::Walk list(value); list.is_array() && json::valid(value)) {
+    while (list.next()) {
+      Hit hit;
+      if (!read_hit(list.raw(), shard, score, hit)) continue;
+      write_hit(hit);
+      hits.push_back(std::move(hit));
+    }
+  } else {
+    Hit hit;
+    hit.slice = shard;
+    hit.score = score;
+    hit.text = json::write(json::Object{{"_index", index_of_(shard)},
+                                        {"_shard", shard},
+                                        {"_score", score},
+                                        {"_source", json::Object{{"body", std::move(value)}}}});
+    hits.push_back(std::move(hit));
+  }
+  for (std::size_t i = 0; i < hits.size(); ++i) {
+    hits[i].plain = true;
+    hits[i].rank = i;
+    max_score_ = std::max(max_score_.value_or(hits[i].score), hits[i].score);
+  }
+  plain_count_ += hits.size();
+  std::stable_sort(hits.begin(), hits.end(), [this](const Hit& a, const Hit& b) { return before(a, b); });
+  merge(std::move(hits));
+}
+
+Page Reducer::page(bool whole) const {
+  if (conflict_) throw *conflict_;
+  Page page;
+  std::map<int, std::size_t> shown;
+  for (std::size_t i = 0; i < top_.size(); ++i) {
+    ++shown[top_[i].slice];
+    if (i >= request_.from) page.hits.push_back(json::Raw{top_[i].text});
+  }
+  page.counted = total_ + plain_count_;
+  if (request_.total) {
+    bool above = total_above_ || !whole;
+    if (request_.total_limit && page.counted > *request_.total_limit) {
+      page.counted = *request_.total_limit;
+      above = true;
+    }
+    page.total = request_.total_as_number
+                     ? json::Value(page.counted)
+                     : json::Value(json::Object{{"value", page.counted}, {"relation", above ? "gte" : "eq"}});
+  } else if (request_.total_as_number) {
+    page.total = -1;
+  }
+  const bool scored = request_.shown_keys == 0 || request_.track_scores || request_.sort.names("_score");
+  if (scored && max_score_) page.max_score = *max_score_;
+  if (!request_.aggregations.empty()) page.aggregations = aggregations_.render(request_.typed_keys);
+  page.terminated_early = terminated_early_;
+  if (!request_.total_order) return page;
+  if (!top_.empty()) {
+    const Hit& last = top_.back();
+    Position position{last.keys, last.slice, last.id};
+    position.keys.pop_back();
+    page.last = std::move(position);
+  }
+  for (const auto& [number, slice] : slices_)
+    if (slice.short_of && shown[number] == slice.given) page.finished.push_back(number);
+  return page;
+}
+
+}  // namespace kelpdeal::search
--- /dev/null
+++ b/src/search/request.cpp
@@ -0,0 +1,441 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "kelpdeal/search/api_error.h"
+
+namespace kelpdeal::search {
+namespace {
+
+// Sorts behind every id: the greatest code point there is.
+constexpr const char* kGreatestId = "\xF4\x8F\xBF\xBF";
+
+// Members of a body that slices get as they stand.
+constexpr const char* kPassed[] = {"min_score",       "terminate_after",
+                                   "_source",         "stored_fields",
+                                   "docvalue_fields", "fields",
+                                   "explain",         "script_fields",
+                                   "highlight",       "version",
+                                   "stats",           "seq_no_primary_term",
+                                   "rescore",         "include_named_queries_score"};
+struct Refused {
+  const char *name, *why;
+};
+constexpr Refused kRefused[] = {
+    {"suggest", "suggestions of the slices cannot be put together"},
+    {"profile", "profiles of the slices are not shown"},
+    {"indices_boost", "slices do not know which index they are searched for"},
+    {"ext", "extensions are not known here"},
+    {"search_pipeline", "pipelines are not known here"},
+    {"derived", "derived fields are not known here"},
+};
+
+std::size_t whole(const json::Value& value, const char* name, std::size_t most) {
+  const double* number = value.number();
+  if (!number || *number != std::floor(*number))
+    illegal("[" + std::string(name) + "] must be a whole number");
+  if (*number < 0)
+    illegal("[" + std::string(name) + "] parameter cannot be negative, found [" + json::write(value) + "]");
+  if (*number > static_cast<double>(most))
+    illegal("[" + std::string(name) + "] must be at most " + std::to_string(most) + ", found [" +
+            json::write(value) + "]");
+  return static_cast<std::size_t>(*number);
+}
+
+std::string text_of(const json::Value& value, const char* name) {
+  if (!value.string()) illegal("[" + std::string(name) + "] must be text");
+  return *value.string();
+}
+
+json::Value list_of(const std::string& text) {
+  json::Array list;
+  for (std::size_t at = 0; at <= text.size();) {
+    const std::size_t end = std::min(text.find(',', at), text.size());
+    list.emplace_back(text.substr(at, end - at));
+    at = end + 1;
+  }
+  return list;
+}
+
+void set(json::Object& members, const char* name, json::Value value) {
+  for (json::Member& member : members)
+    if (member.first == name) {
+      member.second = std::move(value);
+      return;
+    }
+  members.emplace_back(name, std::move(value));
+}
+
+void read_total(const json::Value& value, SearchRequest& request) {
+  request.total = true;
+  if (const bool* flag = value.boolean()) {
+    request.total = *flag;
+    request.total_limit.reset();
+  } else if (value.number()) {
+    request.total_limit = whole(value, "track_total_hits", 2'147'483'647);
+  } else {
+    illegal("[track_total_hits] must be true, false or a whole number");
+  }
+}
+
+class Reader {
+ public:
+  Reader(SearchRequest& request, const SearchBounds& bounds) : request_(request), bounds_(bounds) {}
+
+  void member(const std::string& name, const json::Value& value) {
+    for (const Refused& refused : kRefused)
+      if (name == refused.name && value != json::Value(false))
+        illegal("[" + name + "] is not taken: " + refused.why);
+    if (name == "query") {
+      check_query(value, "query", bounds_.query);
+      request_.query = value;
+    } else if (name == "post_filter") {
+      check_query(value, "post_filter", bounds_.query);
+      request_.members.emplace_back(name, value);
+    } else if (name == "from") {
+      request_.from = whole(value, "from", bounds_.window * 1000);
+    } else if (name == "size") {
+      request_.size = whole(value, "size", bounds_.window * 1000);
+    } else if (name == "sort") {
+      request_.sort = read_sort(value);
+    } else if (name == "search_after") {
+      if (!value.array() || value.array()->empty()) illegal("[search_after] must be a list of sort values");
+      for (const json::Value& one : *value.array())
+        if (one.array() || one.object()) illegal("[search_after] takes plain values");
+      request_.after = *value.array();
+    } else if (name == "track_total_hits") {
+      read_total(value, request_);
+    } else if (name == "track_scores") {
+      if (!value.boolean()) illegal("[track_scores] must be true or false");
+      request_.track_scores = *value.boolean();
+    } else if (name == "timeout") {
+      request_.timeout = parse_time(text_of(value, "timeout"), "timeout");
+    } else if (name == "collapse") {
+      collapse(value);
+    } else if (name == "aggs" || name == "aggregations") {
+      if (!request_.aggregations.empty()) unreadable("[aggs] and [aggregations] stand side by side");
+      request_.aggregations = read_aggregations(value, bounds_.aggregations);
+    } else if (name == "pit") {
+      pit(value);
+    } else if (name == "slice") {
+      slice(value);
+    } else if (std::any_of(std::begin(kPassed), std::end(kPassed),
+                           [&](const char* one) { return name == one; })) {
+      passed(name, value);
+    } else if (std::none_of(std::begin(kRefused), std::end(kRefused),
+                            [&](const Refused& one) { return name == one.name; })) {
+      unreadable("unknown key [" + shortened(name) + "] in the search's body");
+    }
+  }
+
+ private:
+  void passed(const std::string& name, const json::Value& value) {
+    const auto flag = [&] {
+      if (!value.boolean()) illegal("[" + name + "] must be true or false");
+    };
+    if (name == "min_score" && !value.number()) illegal("[min_score] must be a number");
+    if (name == "terminate_after") whole(value, "terminate_after", 2'147'483'647);
+    if (name == "explain" || name == "version" || name == "seq_no_primary_term") flag();
+    if (name == "_source" && !value.boolean() && !value.string() && !value.array() && !value.object())
+      unreadable("[_source] must be true, false, a name, a list of names or an object");
+    if ((name == "docvalue_fields" || name == "fields") && !value.array())
+      unreadable("[" + name + "] must be a list of fields");
+    if (name == "highlight" && !value.find("fields")) unreadable("[highlight] requires [fields]");
+    request_.members.emplace_back(name, value);
+  }
+
+  void collapse(const json::Value& value) {
+    if (!value.object()) unreadable("[collapse] is not an object");
+    for (const auto& [name, option] : *value.object()) {
+      if (name == "field")
+        request_.collapse = text_of(option, "collapse.field");
+      else if (name == "inner_hits")
+        illegal("[collapse] with [inner_hits] is not taken: it needs a search for each group");
+      else if (name != "max_concurrent_group_searches")
+        unreadable("[collapse] does not support [" + shortened(name) + "]");
+    }
+    if (request_.collapse.empty()) illegal("[collapse] needs a [field]");
+    request_.members.emplace_back("collapse", json::Object{{"field", request_.collapse}});
+  }
+
+  void pit(const json::Value& value) {
+    if (!value.object()) unreadable("[pit] is not an object");
+    for (const auto& [name, option] : *value.object()) {
+      if (name == "id")
+        request_.pit = text_of(option, "pit.id");
+      else if (name == "keep_alive")
+        request_.pit_keep_alive = parse_time(text_of(option, "pit.keep_alive"), "keep_alive");
+      else
+        unreadable("[pit] does not support [" + shortened(name) + "]");
+    }
+    if (!request_.pit) illegal("[pit] needs an [id]");
+  }
+
+  void slice(const json::Value& value) {
+    if (!value.object()) unreadable("[slice] is not an object");
+    std::optional<std::size_t> id, max;
+    for (const auto& [name, option] : *value.object()) {
+      if (name == "id")
+        id = whole(option, "slice.id", bounds_.most_slices);
+      else if (name == "max")
+        max = whole(option, "slice.max", bounds_.most_slices);
+      else
+        unreadable("[slice] does not support [" + shortened(name) + "]");
+    }
+    if (!id || !max) illegal("[slice] needs [id] and [max]");
+    if (*max < 2) illegal("max must be greater than 1");
+    if (*id >= *max) illegal("max must be greater than id");
+    request_.partition.emplace(*id, *max);
+  }
+
+  SearchRequest& request_;
+  const SearchBounds& bounds_;
+};
+
+// What the path says of the documents shown.
+void read_source(Parameters& parameters, json::Object& members) {
+  if (const auto source = parameters.get("_source")) {
+    if (*source == "true" || *source == "false")
+      set(members, "_source", *source == "true");
+    else
+      set(members, "_source", list_of(*source));
+  }
+  const auto includes = parameters.get("_source_includes"), excludes = parameters.get("_source_excludes");
+  if (includes || excludes) {
+    json::Object both;
+    if (includes) both.emplace_back("includes", list_of(*includes));
+    if (excludes) both.emplace_back("excludes", list_of(*excludes));
+    set(members, "_source", std::move(both));
+  }
+}
+
+void read_query_string(Parameters& parameters, const SearchBounds& bounds, SearchRequest& request) {
+  const auto q = parameters.get("q");
+  json::Object query;
+  static constexpr std::pair<const char*, const char*> options[] = {
+      {"df", "default_field"}, {"analyzer", "analyzer"}, {"default_operator", "default_operator"}};
+  for (const auto& [parameter, option] : options)
+    if (const auto value = parameters.get(parameter)) query.emplace_back(option, *value);
+  for (const char* option : {"analyze_wildcard", "lenient"})
+    if (const auto value = parameters.flag(option)) query.emplace_back(option, *value);
+  if (!q) return;
+  query.insert(query.begin(), {"query", *q});
+  request.query = json::Object{{"query_string", std::move(query)}};
+  check_query(request.query, "query", bounds.query);
+}
+
+void read_parameters(Parameters& parameters, const SearchBounds& bounds, SearchRequest& request) {
+  read_query_string(parameters, bounds, request);
+  read_source(parameters, request.members);
+  if (const auto from = parameters.count("from", bounds.window * 1000)) request.from = *from;
+  if (const auto size = parameters.count("size", bounds.window * 1000)) request.size = *size;
+  if (const auto sort = parameters.get("sort")) request.sort = read_sort(*sort);
+  if (const auto timeout = parameters.get("timeout")) request.timeout = parse_time(*timeout, "timeout");
+  if (const auto total = parameters.get("track_total_hits")) {
+    if (*total == "true" || *total == "false" || total->empty())
+      read_total(*total != "false", request);
+    else
+      read_total(static_cast<std::uint64_t>(read_count(*total, "track_total_hits", 2'147'483'647)), request);
+  }
+  if (const auto scores = parameters.flag("track_scores")) request.track_scores = *scores;
+  if (const auto most = parameters.count("terminate_after", 2'147'483'647))
+    set(request.members, "terminate_after", static_cast<std::uint64_t>(*most));
+  for (const char* option : {"explain", "version", "seq_no_primary_term"})
+    if (const auto flag = parameters.flag(option)) set(request.members, option, *flag);
+  for (const char* option : {"stored_fields", "docvalue_fields"})
+    if (const auto list = parameters.get(option)) set(request.members, option, list_of(*list));
+  if (const auto scroll = parameters.get("scroll")) request.scroll = parse_time(*scroll, "scroll");
+  request.allow_partial = parameters.flag("allow_partial_search_results").value_or(request.allow_partial);
+  request.routing = parameters.get("routing").value_or(request.routing);
+  request.typed_keys = parameters.flag("typed_keys").value_or(false);
+  request.total_as_number = parameters.flag("rest_total_hits_as_int").value_or(false);
+  const std::string type = parameters.get("search_type").value_or("query_then_fetch");
+  if (type == "dfs_query_then_fetch")
+    illegal("[search_type] dfs_query_then_fetch is not taken: terms are not counted over slices");
+  if (type != "query_then_fetch") illegal("No search type for [" + shortened(type) + "]");
+  const std::string preference = parameters.get("preference").value_or("");
+  for (const char* nodes : {"_only_nodes", "_prefer_nodes", "_only_local", "_shards"})
+    if (preference.starts_with(nodes))
+      illegal("[preference] " + shortened(preference, 40) + " is not taken: the broker picks the holders");
+  parameters.accept(
+      "batched_reduce_size pre_filter_shard_size request_cache max_concurrent_shard_requests "
+      "ccs_minimize_roundtrips ignore_throttled cancel_after_time_interval phase_took");
+}
+
+// What does not go together.
+void check_together(const SearchRequest& r, const SearchBounds& bounds, bool limit_given) {
+  const auto shown = [](std::size_t number) { return std::to_string(number); };
+  if (r.from + r.size > bounds.window) {
+    if (r.scroll)
+      illegal("Batch size is too large, size must be less than or equal to: [" + shown(bounds.window) + "]");
+    illegal("Result window is too large, from + size must be less than or equal to: [" +
+            shown(bounds.window) + "] but was [" + shown(r.from + r.size) +
+            "]. Use scroll or search_after for more.");
+  }
+  if (r.after && r.from > 0) illegal("`from` parameter must be set to 0 when `search_after` is used.");
+  if (r.after && r.collapse.size()) illegal("cannot use `collapse` in conjunction with `search_after`");
+  if (r.scroll) {
+    if (r.after) illegal("`search_after` cannot be used in a scroll context.");
+    if (r.from > 0) illegal("using [from] is not allowed in a scroll context");
+    if (r.size == 0) illegal("[size] cannot be [0] in a scroll context");
+    if (!r.collapse.empty()) illegal("cannot use `collapse` in a scroll context");
+    if (r.pit) illegal("using [point in time] is not allowed in a scroll context");
+    if (*r.scroll <= Duration::zero()) illegal("[scroll] keep alive must be positive");
+  } else if (r.partition && !r.pit) {
+    illegal("[slice] can only be used with [scroll] or [point-in-time] requests");
+  }
+  if (r.pit && !r.routing.empty()) illegal("[routing] cannot be used with point in time");
+  for (const auto& keep_alive : {r.scroll, r.pit_keep_alive})
+    if (keep_alive && *keep_alive > bounds.most_keep_alive)
+      illegal("Keep alive for request is too large. It must be less than or equal to [" +
+              shown(static_cast<std::size_t>(
+                  std::chrono::duration_cast<std::chrono::seconds>(bounds.most_keep_alive).count())) +
+              "s].");
+  const bool rescored = std::any_of(r.members.begin(), r.members.end(),
+                                    [](const json::Member& member) { return member.first == "rescore"; });
+  if (rescored && (r.sorted() || r.scroll || r.after)) illegal("[rescore] only goes with the order by score");
+  if (r.total_as_number && limit_given && r.total && r.total_limit)
+    illegal("[rest_total_hits_as_int] cannot be used if the tracking of total hits is not accurate, got " +
+            shown(*r.total_limit));
+}
+
+}  // namespace
+
+std::optional<Duration> parse_time(const std::string& text, const char* name) {
+  if (text == "-1") return std::nullopt;
+  static constexpr std::pair<std::string_view, double> units[] = {
+      {"nanos", 1e-6}, {"micros", 1e-3}, {"ms", 1}, {"s", 1e3}, {"m", 6e4}, {"h", 3.6e6}, {"d", 8.64e7}};
+  double amount = 0;
+  const char* end = text.data() + text.size();
+  const auto got = std::from_chars(text.data(), end, amount, std::chars_format::fixed);
+  const std::string_view unit(got.ptr, static_cast<std::size_t>(end - got.ptr));
+  if (got.ec == std::errc() && amount >= 0)
+    for (const auto& [suffix, ms] : units)
+      if (unit == suffix) return to_duration(FractionalMs(std::min(amount * ms, 100 * 8.64e7)));
+  illegal(std::string("failed to parse setting [") + name + "] with value [" + shortened(text, 40) +
+          "] as a time value");
+}
+
+NameOptions read_name_options(Parameters& parameters) {
+  NameOptions options;
+  options.ignore_unavailable = parameters.flag("ignore_unavailable").value_or(false);
+  options.allow_no_indices = parameters.flag("allow_no_indices").value_or(true);
+  if (const auto expand = parameters.get("expand_wildcards")) read_expand_wildcards(*expand, options);
+  return options;
+}
+
+SearchRequest read_search(const json::Value& body, Parameters& parameters, const SearchBounds& bounds) {
+  SearchRequest request;
+  Reader reader(request, bounds);
+  bool limit_given = false;
+  if (const json::Object* members = body.object()) {
+    for (const auto& [name, value] : *members) {
+      reader.member(name, value);
+      limit_given |= name == "track_total_hits";
+    }
+  } else if (!body.is_null()) {
+    unreadable("the body is not an object");
+  }
+  limit_given |= parameters.get("track_total_hits").has_value();
+  read_parameters(parameters, bounds, request);
+  // As a plain number, a total has to be exact.
+  check_together(request, bounds, limit_given);
+  if (request.total_as_number && !limit_given) request.total_limit.reset();
+  if (request.scroll) {
+    if (limit_given && (!request.total || request.total_limit))
+      illegal("disabling or bounding [track_total_hits] is not allowed in a scroll context");
+    request.total_limit.reset();
+  }
+  request.shown_keys = request.sort.fields.size();
+  if (request.scroll || request.pit) request.order_totally();
+  if (!request.after) return request;
+  // Of a point in time the last key is the mark of the hit, and may be left out.
+  const std::size_t keys = request.sort.fields.size(), given = request.after->size();
+  if (keys == 0) illegal("Sort must contain at least one field.");
+  if (given != keys && !(request.pit && given + 1 == keys))
+    illegal("search_after has " + std::to_string(given) + " value(s) but sort has " + std::to_string(keys) +
+            ".");
+  return request;
+}
+
+void SearchRequest::order_totally() {
+  total_order = true;
+  if (sort.fields.empty()) sort.append("_score", true);
+  // A document's number at its node is another at each holder.
+  for (SortField& field : sort.fields)
+    if (field.field == "_doc") {
+      SortOrder by_id;
+      by_id.append("_id", false);
+      field = by_id.fields.front();
+    }
+  sort.append("_id", false);
+}
+
+std::string slice_text(const SearchRequest& request, const SliceForm& form) {
+  json::Object body;
+  std::vector<json::Value> filters = form.filters;
+  if (filters.empty()) {
+    if (!request.query.is_null()) body.emplace_back("query", request.query);
+  } else {
+    json::Object both;
+    if (!request.query.is_null()) both.emplace_back("must", json::Array{request.query});
+    both.emplace_back("filter", json::Array(filters.begin(), filters.end()));
+    if (request.query.is_null())
+      both.insert(both.begin(), {"must", json::Array{json::Object{{"match_all", json::Object{}}}}});
+    body.emplace_back("query", json::Object{{"bool", std::move(both)}});
+  }
+  // Every slice may hold all that is shown.
+  body.emplace_back("size", static_cast<std::uint64_t>(request.from + request.size));
+  if (request.sorted()) body.emplace_back("sort", request.sort.written());
+  if (form.after) {
+    json::Array after = form.after->keys;
+    // The order is by sort values, slice, id: of hits that tie with the last one given, slices before its own
+    // have given theirs, slices behind it have given none.
+    if (request.total_order) {
+      if (form.slice < form.after->slice)
+        after.emplace_back(kGreatestId);
+      else if (form.slice == form.after->slice)
+        after.emplace_back(form.after->id);
+      else
+        after.emplace_back("");
+    }
+    body.emplace_back("search_after", std::move(after));
+  } else if (request.after && !request.total_order) {
+    body.emplace_back("search_after", *request.after);
+  }
+  if (!request.total)
+    body.emplace_back("track_total_hits", false);
+  else if (!request.total_limit)
+    body.emplace_back("track_total_hits", true);
+  else
+    body.emplace_back("track_total_hits", *request.total_limit);
+  if (request.track_scores) body.emplace_back("track_scores", true);
+  if (form.partition)
+    body.emplace_back("slice", json::Object{{"id", static_cast<std::uint64_t>(form.partition->first)},
+                                            {"max", static_cast<std::uint64_t>(form.partition->second)}});
+  body.insert(body.end(), request.members.begin(), request.members.end());
+  if (!request.aggregations.empty()) body.emplace_back("aggs", slice_form(request.aggregations));
+  return json::write(body);
+}
+
+std::vector<PartitionPart> partition(std::size_t id, std::size_t max, std::size_t slices) {
+  std::vector<PartitionPart> parts;
+  if (slices == 0) return parts;
+  if (max <= slices) {
+    for (std::size_t place = id; place < slices; place += max) parts.push_back({place, std::nullopt});
+    return parts;
+  }
+  // More partitions than slices: slice p is cut into the partitions p, p + slices, ...
+  const std::size_t place = id % slices;
+  const std::size_t cut = max / slices + (place < max % slices ? 1 : 0);
+  if (cut == 1)
+    parts.push_back({place, std::nullopt});
+  else
+    parts.push_back({place, std::pair(id / slices, cut)});
+  return parts;
+}
+
+}  // namespace kelpdeal::search
--- /dev/null
+++ b/src/search/sort.cpp
@@ -0,0 +1,170 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/search/sort.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "kelpdeal/search/api_error.h"
+
+namespace kelpdeal::search {
+namespace {
+
+constexpr const char* kOptions[] = {"order",         "missing",         "unmapped_type", "mode",
+                                    "nested",        "numeric_type",    "format",        "unit",
+                                    "distance_type", "ignore_unmapped", "script",        "type"};
+
+bool read_order(const json::Value& order) {
+  const std::string* text = order.string();
+  if (text && (*text == "desc" || *text == "DESC")) return true;
+  if (text && (*text == "asc" || *text == "ASC")) return false;
+  illegal("Unknown SortOrder [" + (text ? shortened(*text) : json::write(order)) + "]");
+}
+
+SortField plain_field(const std::string& name, bool descending) {
+  if (name.empty()) illegal("a sort key names no field");
+  SortField field;
+  field.field = name;
+  field.descending = descending;
+  field.written = json::Object{{name, json::Object{{"order", descending ? "desc" : "asc"}}}};
+  return field;
+}
+
+SortField read_field(const json::Value& entry) {
+  if (const std::string* name = entry.string()) return plain_field(*name, *name == "_score");
+  const json::Object* members = entry.object();
+  if (!members || members->size() != 1) unreadable("a sort key is neither a name nor an object of one field");
+  const auto& [name, options] = members->front();
+  if (options.string()) return plain_field(name, read_order(options));
+  if (!options.object()) unreadable("[sort] malformed at [" + shortened(name) + "]");
+  SortField field = plain_field(name, name == "_score");
+  const bool geo = name == "_geo_distance", script = name == "_script";
+  for (const auto& [option, value] : *options.object()) {
+    const bool known = std::any_of(std::begin(kOptions), std::end(kOptions),
+                                   [&option = option](const char* one) { return option == one; });
+    if (!known && !geo)
+      illegal("[sort] unknown option [" + shortened(option) + "] at [" + shortened(name) + "]");
+  }
+  if (const json::Value* order = options.find("order")) field.descending = read_order(*order);
+  if (const json::Value* missing = options.find("missing")) {
+    if (geo || script || name == "_score" || name == "_doc")
+      illegal("[sort] [" + name + "] takes no [missing]");
+    field.missing = *missing == json::Value("_first")  ? SortField::Missing::first
+                    : *missing == json::Value("_last") ? SortField::Missing::last
+                                                       : SortField::Missing::value;
+  }
+  // The order is written out, as its default differs from field to field.
+  json::Object written{{"order", field.descending ? "desc" : "asc"}};
+  for (const json::Member& option : *options.object())
+    if (option.first != "order") written.push_back(option);
+  field.written = json::Object{{name, std::move(written)}};
+  return field;
+}
+
+// Text that stands for a number that JSON has no form for.
+const double* as_number(const json::Value& value, double& infinite) {
+  if (const double* number = value.number()) return number;
+  if (!value.string()) return nullptr;
+  if (*value.string() == "Infinity")
+    infinite = std::numeric_limits<double>::infinity();
+  else if (*value.string() == "-Infinity")
+    infinite = -std::numeric_limits<double>::infinity();
+  else
+    return nullptr;
+  return &infinite;
+}
+
+template <typename T>
+int order_of(const T& a, const T& b) {
+  return a < b ? -1 : b < a ? 1 : 0;
+}
+
+int compare_value(const SortField& field, const json::Value& a, const json::Value& b) {
+  if (a.is_null() || b.is_null()) {
+    if (a.is_null() && b.is_null()) return 0;
+    const int missing_first = field.missing == SortField::Missing::first ? -1 : 1;
+    return a.is_null() ? missing_first : -missing_first;
+  }
+  int order = 0;
+  double infinite_a = 0, infinite_b = 0;
+  const double *number_a = as_number(a, infinite_a), *number_b = as_number(b, infinite_b);
+  if (a.string() && b.string()) {
+    order = number_a && number_b ? order_of(*number_a, *number_b) : a.string()->compare(*b.string());
+  } else if (number_a && number_b) {
+    const auto exact_a = a.integer(), exact_b = b.integer();
+    order = exact_a && exact_b ? order_of(*exact_a, *exact_b) : order_of(*number_a, *number_b);
+  } else if (a.boolean() && b.boolean()) {
+    order = order_of(*a.boolean(), *b.boolean());
+  } else {
+    illegal("Can't do sort across indices, as field [" + shortened(field.field) +
+            "] has one type in one index and another type in another");
+  }
+  return field.descending ? -order : order;
+}
+
+}  // namespace
+
+bool SortOrder::by_score() const {
+  return fields.empty() || (fields.front().field == "_score" && fields.front().descending);
+}
+
+bool SortOrder::names(std::string_view field) const {
+  return std::any_of(fields.begin(), fields.end(), [&](const SortField& f) { return f.field == field; });
+}
+
+void SortOrder::append(const std::string& field, bool descending) {
+  fields.push_back(plain_field(field, descending));
+}
+
+json::Array SortOrder::written() const {
+  json::Array out;
+  for (const SortField& field : fields) out.push_back(field.written);
+  return out;
+}
+
+SortOrder read_sort(const json::Value& sort) {
+  SortOrder order;
+  if (const json::Array* several = sort.array()) {
+    for (const json::Value& entry : *several) {
+      // An object may name several fields; they count in the order written.
+      if (const json::Object* members = entry.object(); members && members->size() > 1) {
+        for (const json::Member& member : *members) order.fields.push_back(read_field(json::Object{member}));
+      } else {
+        order.fields.push_back(read_field(entry));
+      }
+    }
+  } else if (const json::Object* members = sort.object()) {
+    for (const json::Member& member : *members) order.fields.push_back(read_field(json::Object{member}));
+  } else if (!sort.is_null()) {
+    order.fields.push_back(read_field(sort));
+  }
+  if (order.fields.size() > 32) illegal("more than 32 sort keys");
+  return order;
+}
+
+SortOrder read_sort(const std::string& parameter) {
+  SortOrder order;
+  for (std::size_t at = 0; at <= parameter.size();) {
+    const std::size_t end = std::min(parameter.find(',', at), parameter.size());
+    const std::string key = parameter.substr(at, end - at);
+    const std::size_t colon = key.rfind(':');
+    if (colon == std::string::npos)
+      order.fields.push_back(plain_field(key, key == "_score"));
+    else
+      order.fields.push_back(
+          plain_field(key.substr(0, colon), read_order(json::Value(key.substr(colon + 1)))));
+    at = end + 1;
+  }
+  if (order.fields.size() > 32) illegal("more than 32 sort keys");
+  return order;
+}
+
+int compare(const SortOrder& order, const json::Array& a, const json::Array& b, std::size_t most) {
+  for (std::size_t i = 0; i < std::min(order.fields.size(), most); ++i) {
+    static const json::Value none;
+    const int found = compare_value(order.fields[i], i < a.size() ? a[i] : none, i < b.size() ? b[i] : none);
+    if (found != 0) return found;
+  }
+  return 0;
+}
+
+}  // namespace kelpdeal::search
