Show that the reduce is what one node with everything would answer

Need: an answer put together from slices is only right if merging is right, and that was not shown. Change: a stand-in register that holds documents and answers queries, sorts and aggregations; 2,000 random pairs of documents and requests compare the reduce with one node. Found and mended: max_score of an empty page, ties of a histogram ordered by count, ranges inside empty buckets, terms by key cut too early where few documents are wanted.

--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -113,11 +114,11 @@
     std::vector<State> inside;
   };
   static std::vector<State> start(const Aggregations& asked);
-  static void add_all(std::vector<State>& states, std::string_view raw);
-  static void add_one(State& state, std::string_view raw);
-  static void add_terms(State& state, std::string_view raw);
-  static void add_buckets(State& state, std::string_view raw);
-  static void add_bucket(Bucket& bucket, std::string_view raw);
+  void add_all(std::vector<State>& states, std::string_view raw);
+  void add_one(State& state, std::string_view raw);
+  void add_terms(State& state, std::string_view raw);
+  void add_buckets(State& state, std::string_view raw);
+  void add_bucket(Bucket& bucket, std::string_view raw);
   static Bucket& place(State& state, std::string_view key);
   json::Object render(const std::vector<State>& states, bool typed) const;
   json::Value render_one(const State& state, bool typed) const;
@@ -125,6 +126,7 @@
   json::Value render_terms(const State& state, bool typed) const;
   json::Object render_bucket(const State& state, const Bucket& bucket, bool typed) const;
   std::vector<Bucket> fill(const State& state) const;
+  std::vector<Bucket> all_ranges(const State& state) const;
   static std::optional<double> metric(const State& state, std::string_view value);
   static std::optional<double> order_value(const std::vector<State>& states, const Aggregation::Order& order,
                                            std::size_t step);
@@ -134,6 +136,9 @@
   const Aggregations& asked_;
   const AggregationBounds bounds_;
   std::vector<State> states_;
+  // The buckets that a range has wherever it stands, as the first slice to answer wrote them: an empty bucket
+  // between others has them too.
+  std::map<const Aggregation*, std::vector<Bucket>> ranges_;
   mutable std::size_t rendered_ = 0;
 };
 
--- a/include/kelpdeal/search/request.h
+++ b/include/kelpdeal/search/request.h
@@ -61,6 +61,8 @@
   bool total_order = false;
   std::size_t shown_keys = 0;
   bool sorted() const { return !sort.fields.empty(); }
+  // So many hits of each slice may be among those shown.
+  std::size_t window() const { return size == 0 ? 0 : from + size; }
   // Appends the last key of the total order.
   void order_totally();
 };
--- a/src/search/aggregations.cpp
+++ b/src/search/aggregations.cpp
@@ -167,7 +167,8 @@
   if (a.size == 0) refuse(a.name, "[size] must be greater than 0");
   a.min_doc_count = count_of(a.body, "min_doc_count", 1, a.name);
   a.order = read_orders(a.body, a.name);
-  const bool by_key = a.order.size() == 1 && a.order.front().value == "_key";
+  // In the order of keys a slice's first ones are enough, but for those that too few documents hold.
+  const bool by_key = a.order.size() == 1 && a.order.front().value == "_key" && a.min_doc_count <= 1;
   a.shard_size =
       std::max(a.size, count_of(a.body, "shard_size", by_key ? a.size : a.size + a.size / 2 + 10, a.name));
   if (a.shard_size > bounds.shard_size)
@@ -237,7 +238,7 @@
   a.min_doc_count = count_of(a.body, "min_doc_count", 0, a.name);
   a.keyed = a.body.flag_or("keyed", false);
   a.order = read_orders(a.body, a.name);
-  if (a.order.empty()) a.order.push_back({{}, "_key", false});
+  if (a.order.empty() || a.order.back().value != "_key") a.order.push_back({{}, "_key", false});
   if (const json::Value* bounds = a.body.find("extended_bounds")) {
     const auto bound = [&](const char* side) -> double {
       const json::Value* value = bounds->find(side);
@@ -652,6 +653,14 @@
     }
     add_bucket(bucket, buckets.raw());
   }
+  if (state.asked->kind != Kind::range || ranges_.contains(state.asked)) return;
+  std::vector<Bucket>& shape = ranges_[state.asked];
+  for (const Bucket& bucket : state.buckets) {
+    Bucket& empty = shape.emplace_back();
+    empty.key = bucket.key;
+    empty.key_text = bucket.key_text;
+    empty.fixed = bucket.fixed;
+  }
 }
 
 // ---- the answer ----
@@ -796,6 +805,30 @@
   return out;
 }
 
+std::vector<AggregationReduce::Bucket> AggregationReduce::all_ranges(const State& state) const {
+  if (!state.buckets.empty()) return state.buckets;
+  std::vector<Bucket> out;
+  if (const auto shape = ranges_.find(state.asked); shape != ranges_.end()) {
+    out = shape->second;
+  } else {
+    // No slice has met it: as the request says.
+    const auto side = [](const json::Value* bound) {
+      if (!bound) return std::string("*");
+      const std::string text = bound->string() ? *bound->string() : json::write(*bound);
+      return bound->integer() ? text + ".0" : text;
+    };
+    for (const json::Value& range : *state.asked->body.find("ranges")->array()) {
+      Bucket& bucket = out.emplace_back();
+      const json::Value *from = range.find("from"), *to = range.find("to");
+      bucket.key = range.text_or("key", side(from) + "-" + side(to));
+      if (from && from->number()) bucket.fixed.emplace_back("from", *from);
+      if (to && to->number()) bucket.fixed.emplace_back("to", *to);
+    }
+  }
+  for (Bucket& bucket : out) bucket.inside = start(state.asked->inside);
+  return out;
+}
+
 json::Object AggregationReduce::render_bucket(const State& state, const Bucket& bucket, bool typed) const {
   count_bucket();
   json::Object out;
@@ -833,6 +866,7 @@
   const bool histogram = asked.kind == Kind::histogram || asked.kind == Kind::date_histogram;
   std::vector<Bucket> filled;
   if (histogram && asked.min_doc_count == 0) filled = fill(state);
+  if (asked.kind == Kind::range) filled = all_ranges(state);
   std::vector<Bucket> blank;
   if (asked.kind == Kind::filters) {
     // In the order asked, also where no slice has answered.
@@ -851,9 +885,8 @@
     }
   }
   std::vector<const Bucket*> sorted;
-  for (const Bucket& bucket : asked.kind == Kind::filters             ? blank
-                              : histogram && asked.min_doc_count == 0 ? filled
-                                                                      : state.buckets)
+  const bool own = histogram && asked.min_doc_count > 0;
+  for (const Bucket& bucket : asked.kind == Kind::filters ? blank : own ? state.buckets : filled)
     if (!histogram || bucket.count >= asked.min_doc_count) sorted.push_back(&bucket);
   if (histogram) sort(asked, sorted);
   const bool named = asked.kind == Kind::filters ? asked.keyed && !asked.keys.empty() : asked.keyed;
--- a/src/search/reduce.cpp
+++ b/src/search/reduce.cpp
@@ -57,7 +57,7 @@
                  std::function<std::string(int)> index_of)
     : request_(request),
       index_of_(std::move(index_of)),
-      most_(request.from + request.size),
+      most_(request.window()),
       aggregations_(request.aggregations, bounds) {}
 
 bool Reducer::usable(int, int, const std::string& value) {
@@ -302,7 +302,7 @@
     page.total = -1;
   }
   const bool scored = request_.shown_keys == 0 || request_.track_scores || request_.sort.names("_score");
-  if (scored && max_score_) page.max_score = *max_score_;
+  if (scored && max_score_ && request_.size > 0) page.max_score = *max_score_;
   if (!request_.aggregations.empty()) page.aggregations = aggregations_.render(request_.typed_keys);
   page.terminated_early = terminated_early_;
   if (!request_.total_order) return page;
--- a/src/search/request.cpp
+++ b/src/search/request.cpp
@@ -388,7 +388,7 @@
     body.emplace_back("query", json::Object{{"bool", std::move(both)}});
   }
   // Every slice may hold all that is shown.
-  body.emplace_back("size", static_cast<std::uint64_t>(request.from + request.size));
+  body.emplace_back("size", static_cast<std::uint64_t>(request.window()));
   if (request.sorted()) body.emplace_back("sort", request.sort.written());
   if (form.after) {
     json::Array after = form.after->keys;
--- /dev/null
+++ b/tests/conformance/library.h
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: MIT
+// A small register behind a coordinator, over either kind of record node, for the conformance tests.
+#pragma once
+
+#include "../stand_ins.h"
+#include "register.h"
+
+namespace kelpdeal::test {
+
+// lifts (slices 0, 1) and escalators (2, 3) take documents too; .archive (4) is hidden, year-2026 (5); report
+// is all of it in the class of two steps; log takes documents of any make.
+FrontContract library_contract(Api nodes);
+// The documents, always the same.
+void fill(Register& documents, const FrontContract& contract);
+
+class Library {
+ public:
+  explicit Library(Api nodes, std::function<void(FrontContract&)> adjust = {}, Options options = {});
+  World world;
+  Register documents;
+  FrontContract contract;
+  // What a node does with a part: by default it answers from the documents.
+  Answer answer(const Seen& part);
+  Task<http::Response> ask(const char* method, const std::string& target, const std::string& body = "",
+                           const std::string& team = "");
+  Task<json::Value> get(const char* method, const std::string& target, const std::string& body = "") {
+    const http::Response response = co_await ask(method, target, body);
+    co_return response.body.empty() ? json::Value() : body_of(response);
+  }
+};
+
+// True if all that `expected` says holds of `actual`: objects may hold more, numbers may differ by rounding.
+bool holds(const json::Value& expected, const json::Value& actual, std::string& where);
+std::vector<std::string> ids_of(const json::Value& answer);
+
+}  // namespace kelpdeal::test
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -117,7 +117,7 @@
   out.id = part.id;
   out.end = answer.kind == Answer::Kind::serve ? 'S' : answer.kind == Answer::Kind::busy ? 'B' : 'E';
   out.score = static_cast<std::int64_t>(answer.score);
-  if (out.end == 'S') out.value = hits_of(part.shard, answer.score);
+  if (out.end == 'S') out.value = answer.value.empty() ? hits_of(part.shard, answer.score) : answer.value;
   std::string bytes = frames::encode_answer(out);
   if (answer.spoil) bytes = answer.spoil(bytes);
   co_await link->write_all(bytes);
@@ -134,7 +134,15 @@
       gone = true;
       for (std::size_t i = before; i < seen.size(); ++i) given_up.push_back(seen[i].id);
     });
-    const http::Response response = co_await answer_http(request, first, reset, silent);
+    const std::vector<Seen> parts = parts_of(request);
+    if (trickles && parts.size() > 1) {
+      const bool done = co_await trickle(link, parts);
+      while (!done && !gone) co_await scheduler_.sleep_until(Clock::now() + Milliseconds(5));
+      link->on_hang_up(nullptr);
+      if (!done) co_return;
+      continue;
+    }
+    const http::Response response = co_await answer_http(request, parts, first, reset, silent);
     if (reset) co_return;
     while (silent && !gone) co_await scheduler_.sleep_until(Clock::now() + Milliseconds(5));
     link->on_hang_up(nullptr);
@@ -145,27 +153,27 @@
   }
 }
 
-Task<http::Response> Node::answer_http(const http::Request& request, Answer& first, bool& reset,
-                                       bool& silent) {
+std::vector<Seen> Node::parts_of(const http::Request& request) {
   ++calls_;
   std::vector<json::Value> headers;
-  const bool write = request.method == "PUT";
+  std::vector<std::string> texts;
+  std::string error;
   if (request.path() == "/_msearch") {
     std::istringstream lines(request.body);
     for (std::string header, body; std::getline(lines, header) && std::getline(lines, body);) {
-      std::string error;
       headers.push_back(*json::parse(header, error));
+      texts.push_back(body);
     }
   } else {
     json::Object header;
     for (const char* name : {"preference", "request_id", "timeout", "from_shards", "whole"})
       if (const auto value = request.parameter(name)) header.emplace_back(name, *value);
     headers.emplace_back(std::move(header));
+    texts.push_back(request.body);
   }
-  json::Array responses;
-  Duration slowest{};
-  const std::size_t before = seen.size();
-  for (const json::Value& header : headers) {
+  std::vector<Seen> parts;
+  for (std::size_t i = 0; i < headers.size(); ++i) {
+    const json::Value& header = headers[i];
     Seen one;
     one.id = header.text_or("request_id", "");
     one.shard = std::stoi(header.text_or("preference", "_shards:-1").substr(8));
@@ -175,30 +183,72 @@
     const std::string whole = header.text_or("whole", "");
     one.whole = whole.empty() ? "" : whole == "true" ? "1" : "0";
     if (const std::string* key = request.headers.find("Idempotency-Key")) one.key = *key;
-    one.text = request.body;
+    one.text = texts[i];
     one.call = calls_;
     one.at = Clock::now();
     seen.push_back(one);
-    const Answer answer = behave(one);
-    if (seen.size() == before + 1) first = answer;
+    parts.push_back(std::move(one));
+  }
+  return parts;
+}
+
+json::Value Node::body_for(const Seen& part, const Answer& answer) {
+  const int status = answer.kind == Answer::Kind::busy ? 429 : answer.kind == Answer::Kind::error ? 500 : 200;
+  std::string error;
+  if (status == 200 && !answer.value.empty()) {
+    json::Object body = *json::parse(answer.value, error)->object();
+    if (!json::Value(body).find("status")) body.emplace_back("status", status);
+    return body;
+  }
+  json::Object body{{"status", status}, {"timed_out", false}};
+  if (status == 200)
+    body.emplace_back("hits", json::Object{{"max_score", answer.score},
+                                           {"hits", *json::parse(hits_of(part.shard, answer.score), error)}});
+  return body;
+}
+
+// False if it stands still before the last answer.
+Task<bool> Node::trickle(Link link, std::vector<Seen> parts) {
+  const auto chunk = [](const std::string& text) {
+    char size[20];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+  };
+  const TimePoint start = Clock::now();
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("{\"took\":1,\"responses\":[");
+  co_await link->write_all(head);
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const Answer answer = behave(parts[i]);
+    if (answer.after > Duration::zero()) co_await scheduler_.sleep_until(start + answer.after);
+    if (answer.kind == Answer::Kind::silent) co_return false;
+    const std::string text = chunk((i ? "," : "") + json::write(body_for(parts[i], answer)));
+    co_await link->write_all(text);
+  }
+  const std::string end = chunk("]}") + "0\r\n\r\n";
+  co_await link->write_all(end);
+  co_return true;
+}
+
+Task<http::Response> Node::answer_http(const http::Request& request, const std::vector<Seen>& parts,
+                                       Answer& first, bool& reset, bool& silent) {
+  json::Array responses;
+  Duration slowest{};
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const Answer answer = behave(parts[i]);
+    if (i == 0) first = answer;
     slowest = std::max(slowest, answer.after);
     silent |= answer.kind == Answer::Kind::silent;
     reset |= answer.kind == Answer::Kind::reset;
-    const int status = answer.kind == Answer::Kind::busy    ? 429
-                       : answer.kind == Answer::Kind::error ? 500
-                                                            : 200;
-    std::string error;
-    json::Object body{{"status", status}, {"timed_out", false}};
-    if (status == 200)
-      body.emplace_back("hits",
-                        json::Object{{"max_score", answer.score},
-                                     {"hits", *json::parse(hits_of(one.shard, answer.score), error)}});
-    responses.emplace_back(std::move(body));
+    responses.push_back(body_for(parts[i], answer));
   }
   if (slowest > Duration::zero()) co_await scheduler_.sleep_until(Clock::now() + slowest);
-  if (headers.size() > 1) co_return json_response(200, json::Object{{"responses", std::move(responses)}});
+  if (parts.size() > 1) co_return json_response(200, json::Object{{"responses", std::move(responses)}});
   const int status = static_cast<int>(responses[0].number_or("status", 500));
-  co_return json_response(write && status == 200 ? 201 : status, responses[0]);
+  if (request.path().ends_with("/_bulk") && first.kind == Answer::Kind::serve)
+    co_return json_response(
+        200, json::Object{{"took", 1}, {"items", json::Array{json::Object{{"index", responses[0]}}}}});
+  co_return json_response(request.method == "PUT" && status == 200 ? 201 : status, responses[0]);
 }
 
 // ---- discovery ----
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -38,6 +38,7 @@
   double score = 1;
   Duration after{};
   std::function<std::string(const std::string&)> spoil{};  // of the bytes that would be right
+  std::string value{};  // in place of the usual hits: what frames carry, or the answer in the API
 };
 
 class Node {
@@ -47,6 +48,9 @@
   std::vector<Seen> seen;
   std::vector<std::string> given_up;  // ids of frame 2; with the OpenSearch-style API, ids of a closed call
   std::size_t connections = 0;
+  // Answers of a multi-search are written one by one, each after its own time; else together after the
+  // slowest.
+  bool trickles = false;
   std::string address() const { return listener_.address().text(); }
   void stop() { listener_.close(); }  // new connections are refused from here on
   std::size_t seen_of_shard(int shard) const;
@@ -57,7 +61,11 @@
   Task<void> serve_frames(Link link);
   Task<void> serve_http(Link link);
   Task<void> answer_frame(Link link, Seen part);
-  Task<http::Response> answer_http(const http::Request& request, Answer& first, bool& reset, bool& silent);
+  std::vector<Seen> parts_of(const http::Request& request);
+  Task<bool> trickle(Link link, std::vector<Seen> parts);
+  static json::Value body_for(const Seen& part, const Answer& answer);
+  Task<http::Response> answer_http(const http::Request& request, const std::vector<Seen>& parts,
+                                   Answer& first, bool& reset, bool& silent);
   Scheduler& scheduler_;
   Api api_;
   Listener listener_;
