--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -82,8 +82,8 @@
 // One whole JSON text, or why it is not one in `error`.
 std::optional<Value> parse(std::string_view text, std::string& error, const Bounds& bounds = {});
 
-// Whether it is one whole JSON text; builds nothing.
-bool valid(std::string_view text, const Bounds& bounds = {});
+// Whether it is one whole JSON text; builds nothing, so that only the depth needs a bound.
+bool valid(std::string_view text, const Bounds& bounds = {256, static_cast<std::size_t>(-1)});
 
 // Goes through the members of an object, or the items of an array, without building values. For text that
 // valid() has passed; of any other text it may give anything that lies within it.
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -19,6 +19,7 @@
   std::size_t frame_bytes = 256 * 1024;  // of one frame from a record node
   std::size_t parts_per_query = 1000;
   // Of the search front: one body, one bulk, one line of it, what one request of many items holds.
+  json::Bounds search_json{100, 100'000};  // of one body: queries nest three deep for each of their levels
   std::size_t search_body = 1 << 20;
   std::size_t bulk_bytes = 16 << 20;
   std::size_t bulk_line = 1 << 20;
--- a/src/front/opensearch/cluster_calls.cpp
+++ b/src/front/opensearch/cluster_calls.cpp
@@ -337,7 +337,7 @@
 }
 
 Task<Answer> OpenSearchFront::field_caps(Call& call, Caller&) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   std::string fields = call.parameters.get("fields").value_or("");
   if (const json::Value* given = body.find("fields"); given && fields.empty()) fields = joined(*given);
   const search::NameOptions names = search::read_name_options(call.parameters);
--- a/src/front/opensearch/cursor_calls.cpp
+++ b/src/front/opensearch/cursor_calls.cpp
@@ -53,7 +53,7 @@
     illegal(kind == Cursor::Kind::scroll ? "Cannot parse scroll id"
                                          : "invalid id: [" + search::shortened(id, 40) + "]");
   std::string error;
-  const auto value = json::parse(*payload, error, limits_.json);
+  const auto value = json::parse(*payload, error, limits_.search_json);
   std::optional<Cursor> cursor;
   if (value) cursor = search::read_cursor(*value);
   if (!cursor || cursor->kind != kind)
@@ -125,7 +125,7 @@
 }
 
 Task<Answer> OpenSearchFront::scroll(Call& call, Caller& caller) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   const std::string keep_alive = call.parameters.get("scroll").value_or(body.text_or("scroll", ""));
   const std::vector<std::string> ids =
       ids_of(body, "scroll_id", call.id.empty() ? call.parameters.get("scroll_id").value_or("") : call.id);
@@ -201,7 +201,7 @@
 }
 
 Task<Answer> OpenSearchFront::clear_scroll(Call& call, Caller&) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   call.check_parameters();
   const std::vector<std::string> ids = ids_of(body, "scroll_id", call.id);
   if (ids.empty())
@@ -264,7 +264,7 @@
 }
 
 Task<Answer> OpenSearchFront::close_point(Call& call, Caller&) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   call.check_parameters();
   const std::vector<std::string> ids = ids_of(body, "pit_id", "");
   if (ids.empty())
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -104,7 +104,7 @@
   // What the node made of it, where it says so: an update of a document that was there, a conflict.
   std::string error;
   const auto told =
-      reply.items.empty() ? std::nullopt : json::parse(reply.items.front().value, error, limits_.json);
+      reply.items.empty() ? std::nullopt : json::parse(reply.items.front().value, error, limits_.search_json);
   if (write.operation && told && told->object()) {
     status = static_cast<int>(told->number_or("status", 201));
     if (const json::Value* problem = told->find("error"); problem && status >= 400)
@@ -140,7 +140,7 @@
   if (id.size() > 512) illegal("id is too long, must be no longer than 512 bytes");
   Write write = read_write(call.index, id, routing, create, call.http.body, key ? *key : "");
   std::string error;
-  const auto document = json::parse(call.http.body, error, limits_.json);
+  const auto document = json::parse(call.http.body, error, limits_.search_json);
   if (!document || !document->object())
     throw ApiError{
         400, "mapper_parsing_exception", document ? "the document is not an object" : error, {}, {}};
@@ -271,7 +271,7 @@
 }
 
 Task<Answer> OpenSearchFront::multi_get(Call& call, Caller& caller) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   const json::Value source = source_of(call.parameters);
   const std::string routing = call.parameters.get("routing").value_or("");
   const auto stored = call.parameters.get("stored_fields");
@@ -376,7 +376,7 @@
   const std::string* header = call.http.headers.find("Idempotency-Key");
 
   search::Lines lines(limits_.bulk_line);
-  search::BulkReader reader(call.index, limits_.json);
+  search::BulkReader reader(call.index, limits_.search_json);
   std::deque<json::Value> items;  // a place never moves once an item is to write there
   std::deque<Caller> callers;
   Mailbox<int> done(scheduler_);
--- a/src/front/opensearch/opensearch_front.cpp
+++ b/src/front/opensearch/opensearch_front.cpp
@@ -59,7 +59,7 @@
 
 search::SearchBounds search_bounds(const Limits& limits) {
   search::SearchBounds bounds;
-  bounds.json = limits.json;
+  bounds.json = limits.search_json;
   return bounds;
 }
 
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -49,7 +49,7 @@
 }  // namespace
 
 Task<Answer> OpenSearchFront::search(Call& call, Caller& caller) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   co_return co_await search_body(call, body, caller);
 }
 
@@ -247,14 +247,14 @@
                                                  : json::write(value));
     }
     std::string error;
-    auto read = json::parse(body.empty() ? "{}" : body, error, limits_.json);
+    auto read = json::parse(body.empty() ? "{}" : body, error, limits_.search_json);
     if (!read || !read->object()) search::unreadable(read ? "the body is not an object" : error);
     if (is_template) {
       const json::Value* source = read->find("source");
       const json::Value* parameters = read->find("params");
       read =
           search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                                  limits_.search_body, limits_.json);
+                                  limits_.search_body, limits_.search_json);
     }
     outcome = co_await search_body(one, *read, caller);
   } catch (const ApiError& error) {
@@ -283,7 +283,7 @@
   std::vector<json::Value> headers(count);
   for (std::size_t i = 0; i < count; ++i) {
     std::string error;
-    auto header = json::parse(lines[2 * i].empty() ? "{}" : lines[2 * i], error, limits_.json);
+    auto header = json::parse(lines[2 * i].empty() ? "{}" : lines[2 * i], error, limits_.search_json);
     if (!header || !header->object())
       search::unreadable("the header of search " + std::to_string(i) + " is not an object");
     headers[i] = std::move(*header);
@@ -369,7 +369,7 @@
 
 // ---- others ----
 Task<Answer> OpenSearchFront::count(Call& call, Caller& caller) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   json::Object asked{{"size", 0}, {"track_total_hits", true}};
   if (body.object())
     for (const json::Member& member : *body.object()) {
@@ -396,7 +396,7 @@
 }
 
 Task<Answer> OpenSearchFront::validate(Call& call, Caller&) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   const bool explain = call.parameters.flag("explain").value_or(false);
   call.parameters.accept("rewrite all_shards");
   const search::NameOptions names = search::read_name_options(call.parameters);
@@ -425,7 +425,7 @@
 }
 
 Task<Answer> OpenSearchFront::search_template(Call& call, Caller& caller) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   for (const char* option : {"explain", "profile"})
     if (const json::Value* value = body.find(option); value && *value != json::Value(false))
       illegal("[" + std::string(option) + "] is not taken of a template");
@@ -433,18 +433,18 @@
   const json::Value* parameters = body.find("params");
   const json::Value rendered =
       search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                              limits_.search_body, limits_.json);
+                              limits_.search_body, limits_.search_json);
   co_return co_await search_body(call, rendered, caller);
 }
 
 Task<Answer> OpenSearchFront::render_template(Call& call, Caller&) {
-  const json::Value body = read_body(call, limits_.json);
+  const json::Value body = read_body(call, limits_.search_json);
   call.check_parameters();
   const json::Value* source = body.find("source");
   const json::Value* parameters = body.find("params");
   json::Value rendered =
       search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                              limits_.search_body, limits_.json);
+                              limits_.search_body, limits_.search_json);
   co_return Answer{200, json::Object{{"template_output", std::move(rendered)}}, {}, {}};
 }
 
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -44,12 +44,15 @@
 
 // A body on one line; text that is no JSON object becomes a query of that text.
 std::string one_line(const std::string& text) {
-  std::string error;
-  const auto value = json::parse(text, error);
-  if (!value || !value->object())
+  if (!json::Walk(text).is_object() || !json::valid(text))
     return json::write(
         json::Object{{"query", json::Object{{"query_string", json::Object{{"query", text}}}}}});
-  return text.find('\n') == std::string::npos ? text : json::write(*value);
+  if (text.find('\n') == std::string::npos) return text;
+  // Between the values of JSON a line's end is but a space; in a string it cannot stand.
+  std::string line = text;
+  std::replace_if(
+      line.begin(), line.end(), [](char c) { return c == '\n' || c == '\r'; }, ' ');
+  return line;
 }
 
 }  // namespace
--- a/src/search/aggregations.cpp
+++ b/src/search/aggregations.cpp
@@ -33,6 +33,9 @@
 struct Refused {
   const char *name, *why;
 };
+// Keys of histograms, dates in milliseconds among them, lie within it.
+constexpr double kFarthest = 8.64e15;
+
 constexpr const char* kSketch =
     "a slice answers with one number, and two such numbers cannot be put together";
 constexpr const char* kPipeline =
@@ -250,6 +253,10 @@
     a.extend.emplace(bound("min"), bound("max"));
     if (a.extend->first > a.extend->second) refuse(a.name, "[extended_bounds.min] is greater than its [max]");
   }
+  const auto near = [](double value) { return std::abs(value) < kFarthest; };
+  if (!near(a.interval) || !near(a.offset) ||
+      (a.extend && !(near(a.extend->first) && near(a.extend->second))))
+    refuse(a.name, "its interval, offset and bounds have to lie within " + std::to_string(kFarthest));
   const bool fills = a.min_doc_count == 0;
   if (dates && fills && !a.zone_fixed)
     refuse(a.name, "gaps in a zone known by name cannot be filled here: state min_doc_count 1, or an offset");
@@ -639,6 +646,14 @@
       key = buckets.is_object() ? json::unquote(buckets.name()) : std::to_string(number);
     } else {
       const auto value = any_number(written);
+      // Guards against a bucket that stands nowhere: the gaps between the others could not be told.
+      const bool histogram = asked.kind == Kind::histogram || asked.kind == Kind::date_histogram;
+      if (histogram && (!value || !(std::abs(*value) < kFarthest)))
+        throw ApiError{500,
+                       "aggregation_execution_exception",
+                       "aggregation [" + asked.name + "]: a slice gave a bucket without a key",
+                       {},
+                       {}};
       key = value ? json::write(json::Value(*value)) : std::string(written);
     }
     ++number;
--- a/src/search/bulk.cpp
+++ b/src/search/bulk.cpp
@@ -77,7 +77,7 @@
   if (!options.object()) malformed("expected an object behind [" + action + "]");
   item.index = default_index_;
   for (const auto& [name, value] : *options.object()) {
-    const auto text_in = [&](std::string& into) {
+    const auto text_in = [&, &value = value, &name = name](std::string& into) {
       if (value.string())
         into = *value.string();
       else if (value.number())
--- a/src/search/cursor.cpp
+++ b/src/search/cursor.cpp
@@ -16,8 +16,9 @@
   return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
 }
 WallClock::time_point from_ms(double ms) {
-  return WallClock::time_point(Milliseconds(static_cast<std::int64_t>(ms)));
+  return WallClock::time_point(Milliseconds(static_cast<std::int64_t>(std::clamp(ms, 0.0, 8e12))));
 }
+int to_slice(double number) { return static_cast<int>(std::clamp(number, -1.0, 1e9)); }
 
 json::Value write_position(const Position& position) {
   return json::Object{{"k", position.keys}, {"s", position.slice}, {"i", position.id}};
@@ -25,7 +26,7 @@
 Position read_position(const json::Value& value) {
   Position position;
   if (const json::Value* keys = value.find("k"); keys && keys->array()) position.keys = *keys->array();
-  position.slice = static_cast<int>(value.number_or("s", -1));
+  position.slice = to_slice(value.number_or("s", -1));
   position.id = value.text_or("i", "");
   return position;
 }
@@ -130,7 +131,9 @@
 std::optional<Cursor> read_cursor(const json::Value& value) {
   if (!value.object()) return std::nullopt;
   Cursor c;
-  c.kind = value.text_or("kind", "") == "scroll" ? Cursor::Kind::scroll : Cursor::Kind::point;
+  const std::string kind = value.text_or("kind", "");
+  if (kind != "scroll" && kind != "point") return std::nullopt;
+  c.kind = kind == "scroll" ? Cursor::Kind::scroll : Cursor::Kind::point;
   c.number = std::strtoull(value.text_or("n", "0").c_str(), nullptr, 10);
   c.team = value.text_or("team", "");
   c.opened = from_ms(value.number_or("from", 0));
@@ -152,12 +155,12 @@
   for (const json::Value& entry : list("behind")) {
     if (!entry.array() || entry.array()->size() != 2 || !entry.array()->front().number()) return std::nullopt;
     const json::Value& position = entry.array()->back();
-    c.behind[static_cast<int>(*entry.array()->front().number())] =
+    c.behind[to_slice(*entry.array()->front().number())] =
         position.is_null() ? std::nullopt : std::optional(read_position(position));
   }
   for (const json::Value& slice : list("done"))
-    if (slice.number()) c.finished.insert(static_cast<int>(*slice.number()));
-  c.total = static_cast<std::uint64_t>(value.number_or("total", 0));
+    if (slice.number()) c.finished.insert(to_slice(*slice.number()));
+  c.total = static_cast<std::uint64_t>(std::clamp(value.number_or("total", 0), 0.0, 9e15));
   if (const json::Value* score = value.find("max"); score && score->number()) c.max_score = *score->number();
   return c;
 }
--- a/src/search/reduce.cpp
+++ b/src/search/reduce.cpp
@@ -139,7 +139,7 @@
     number = json::member(raw, "value").value_or("0");
     total_above_ |= json::member(raw, "relation").value_or("") == "\"gte\"";
   }
-  total_ += static_cast<std::uint64_t>(std::max(0.0, number_in(number).value_or(0)));
+  total_ += static_cast<std::uint64_t>(std::clamp(number_in(number).value_or(0), 0.0, 9e15));
 }
 
 bool Reducer::read_hit(std::string_view raw, int shard, double score, Hit& hit) const {
--- /dev/null
+++ b/tests/conformance/stand_in_main.cpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: MIT
+// The stand-ins as a process of their own: discovery and record nodes that hold documents. Writes what a
+// coordinator needs into the folder it is given, says "ready", and ends once its standard input does.
+#include <fcntl.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+
+#include "library.h"
+
+namespace kelpdeal::test {
+namespace {
+
+struct Input : Readiness {
+  Scheduler& scheduler;
+  explicit Input(Scheduler& s) : scheduler(s) { scheduler.watch(0, EPOLLIN, *this); }
+  void ready(std::uint32_t) override {
+    char bytes[64];
+    if (::read(0, bytes, sizeof bytes) <= 0) scheduler.stop();
+  }
+};
+
+int run(const std::string& folder, Api api) {
+  World world({Api::opensearch, api});
+  Register documents;
+  fill(documents, library_contract(api));
+  for (auto& node : world.nodes)
+    node->behave = [&documents](const Seen& part) { return answer_from(documents, part); };
+  std::ofstream(folder + "/config.json") << world.config_text();
+  std::cout << "ready " << world.discovery->address() << std::endl;
+  ::fcntl(0, F_SETFL, O_NONBLOCK);
+  const Input input(world.scheduler);
+  world.scheduler.run();
+  return 0;
+}
+
+}  // namespace
+}  // namespace kelpdeal::test
+
+int main(int argc, char** argv) {
+  if (argc != 3) return std::cerr << "usage: kelpdeal_stand_in FOLDER frames|opensearch\n", 2;
+  const auto api =
+      std::string(argv[2]) == "opensearch" ? kelpdeal::test::Api::opensearch : kelpdeal::test::Api::platform;
+  return kelpdeal::test::run(argv[1], api);
+}
--- /dev/null
+++ b/tests/search_test.cpp
@@ -0,0 +1,407 @@
+// SPDX-License-Identifier: MIT
+// The decisions and readers of package search, one by one: tables of cases.
+#include <gtest/gtest.h>
+#include <sodium.h>
+
+#include "kelpdeal/search/bulk.h"
+#include "kelpdeal/search/cursor.h"
+#include "kelpdeal/search/dates.h"
+#include "kelpdeal/search/fanout.h"
+#include "kelpdeal/search/filter_path.h"
+#include "kelpdeal/search/reduce.h"
+#include "kelpdeal/search/tasks.h"
+#include "kelpdeal/search/template.h"
+
+namespace kelpdeal::search {
+namespace {
+
+using namespace std::chrono_literals;
+using json::Array;
+using json::Object;
+using json::Value;
+
+Value parsed(const std::string& text) {
+  std::string error;
+  auto value = json::parse(text, error, {100, 100000});
+  EXPECT_TRUE(value) << error << ": " << text;
+  return value ? *value : Value();
+}
+
+template <typename F>
+std::string refusal_of(F action) {
+  try {
+    action();
+  } catch (const ApiError& error) {
+    return error.reason;
+  }
+  return "";
+}
+
+TEST(Dates, AreReadRoundedAndWritten) {
+  const struct {
+    const char* text;
+    std::int64_t ms;
+  } read[] = {{"1970-01-01", 0},
+              {"2026-03-31T08:05:09.250Z", 1774944309250},
+              {"2026-03-31T08:05:09.250+01:00", 1774940709250},
+              {"2024-02-29", 1709164800000},
+              {"1969-12-31T23:59:59Z", -1000},
+              {"1774944309250", 1774944309250},
+              {"2026-03", 1772323200000},
+              {"2026", 1767225600000}};
+  for (const auto& one : read) EXPECT_EQ(parse_date(one.text), one.ms) << one.text;
+  for (const char* wrong :
+       {"", "x", "2026-13-01", "2025-02-29", "2026-03-31T25:00", "2026-03-31T08:00:00.", "2026-03-31x"})
+    EXPECT_FALSE(parse_date(wrong)) << wrong;
+
+  const std::int64_t now = *parse_date("2026-03-31T08:05:09.250Z");
+  const struct {
+    const char *text, *is;
+  } maths[] = {{"now", "2026-03-31T08:05:09.250Z"},    {"now/d", "2026-03-31T00:00:00.000Z"},
+               {"now-1M", "2026-02-28T08:05:09.250Z"}, {"now+1M/M", "2026-04-01T00:00:00.000Z"},
+               {"now/y", "2026-01-01T00:00:00.000Z"},  {"now-36h", "2026-03-29T20:05:09.250Z"},
+               {"now/w", "2026-03-30T00:00:00.000Z"},  {"2024-02-29||+1y", "2025-02-28T00:00:00.000Z"},
+               {"now/h", "2026-03-31T08:00:00.000Z"}};
+  for (const auto& one : maths) {
+    const auto ms = date_math(one.text, now);
+    ASSERT_TRUE(ms) << one.text;
+    EXPECT_EQ(format_date(*ms, "", 0), one.is) << one.text;
+  }
+  for (const char* wrong : {"later", "now+", "now/x", "now*2", "now+1", "now+999999999d", "2026-99||/d"})
+    EXPECT_FALSE(date_math(wrong, now)) << wrong;
+  EXPECT_EQ(format_date(now, "yyyy.MM.dd 'at' H:mm", 3'600'000), "2026.03.31 at 9:05");
+  EXPECT_EQ(format_date(now, "", 3'600'000), "2026-03-31T09:05:09.250+01:00");
+  EXPECT_FALSE(format_date(now, "EEE", 0));
+  EXPECT_EQ(floor_to(now, "quarter", 0), *parse_date("2026-01-01"));
+  EXPECT_EQ(next_of(*parse_date("2026-01-01"), "quarter", 0), *parse_date("2026-04-01"));
+  EXPECT_EQ(floor_to(now, "day", 3'600'000 * 18), *parse_date("2026-04-01T00:00:00+18:00"));
+}
+
+TEST(Names, MatchInBoundedTime) {
+  const std::string name(2000, 'a');
+  std::string pattern;
+  for (int i = 0; i < 300; ++i) pattern += "*a";
+  const auto start = Clock::now();
+  EXPECT_FALSE(matches(pattern + "b", name));
+  EXPECT_LT(Clock::now() - start, 500ms);
+  EXPECT_TRUE(matches("a*c*", "abcd"));
+  EXPECT_FALSE(matches("a*c", "abcd"));
+  EXPECT_TRUE(matches("*", ""));
+}
+
+TEST(QueryDsl, IsBoundedInDepthAndWidth) {
+  const auto nested = [](int depth) {
+    std::string text = R"({"match_all":{}})";
+    for (int i = 1; i < depth; ++i) text = R"({"bool":{"must":)" + text + "}}";
+    return text;
+  };
+  EXPECT_EQ(refusal_of([&] { check_query(parsed(nested(20)), "query", {}); }), "");
+  EXPECT_NE(refusal_of([&] { check_query(parsed(nested(21)), "query", {}); }).find("nested deeper than 20"),
+            std::string::npos);
+  const auto wide = [](int clauses) {
+    std::string text;
+    for (int i = 0; i < clauses; ++i) text += std::string(i ? "," : "") + R"({"term":{"a":1}})";
+    return R"({"bool":{"should":[)" + text + "]}}";
+  };
+  EXPECT_EQ(refusal_of([&] { check_query(parsed(wide(1023)), "query", {}); }), "");
+  EXPECT_NE(refusal_of([&] { check_query(parsed(wide(1024)), "query", {}); }).find("more than 1024 clauses"),
+            std::string::npos);
+}
+
+TEST(FilterPaths, AreBoundedToo) {
+  std::string many, deep = "a";
+  for (int i = 0; i < 65; ++i) many += std::string(i ? "," : "") + "a" + std::to_string(i);
+  for (int i = 0; i < 64; ++i) deep += ".a";
+  EXPECT_NE(refusal_of([&] { filter_path(Object{}, many); }), "");
+  EXPECT_NE(refusal_of([&] { filter_path(Object{}, deep); }), "");
+  // Many ** over a deep body: each place is visited with a set of states, not with each way to it.
+  std::string stars = "**", body = "1";
+  for (int i = 0; i < 30; ++i)
+    stars += ".**", body = "{\"a\":" + body + ",\"b\":[" + body.substr(0, 50) + "]}";
+  std::string error;
+  if (const auto value = json::parse(body, error)) filter_path(*value, stars + ".z");
+  EXPECT_EQ(json::write(filter_path(parsed(R"({"a":{"b":1,"c":{"b":2}},"d":[{"b":3},{"e":4}]})"), "**.b")),
+            R"({"a":{"b":1,"c":{"b":2}},"d":[{"b":3}]})");
+  EXPECT_EQ(json::write(filter_path(parsed(R"({"a":{"b":1,"c":2},"d":3})"), "a,-a.c")), R"({"a":{"b":1}})");
+}
+
+TEST(Partitions, CoverEverySliceOnce) {
+  for (std::size_t slices = 1; slices <= 8; ++slices)
+    for (std::size_t max = 2; max <= 20; ++max) {
+      std::map<std::size_t, std::pair<std::size_t, std::set<std::size_t>>>
+          seen;  // cut in so many, which came
+      for (std::size_t id = 0; id < max; ++id)
+        for (const PartitionPart& part : partition(id, max, slices)) {
+          auto& [cut, ids] = seen[part.place];
+          cut = part.part ? part.part->second : 1;
+          EXPECT_TRUE(ids.insert(part.part ? part.part->first : 0).second);
+        }
+      EXPECT_EQ(seen.size(), slices);
+      for (const auto& [place, one] : seen) EXPECT_EQ(one.second.size(), one.first) << slices << " " << max;
+    }
+}
+
+// ---- cursors ----
+SortOrder by(const char* field) {
+  SortOrder order;
+  order.append(field, false);
+  order.append("_id", false);
+  return order;
+}
+Page page_up_to(int key, int slice, const char* id) {
+  Page page;
+  page.last = Position{{key}, slice, id};
+  return page;
+}
+
+TEST(Cursors, GoOnWhereEachSliceStands) {
+  const SortOrder order = by("n");
+  Cursor cursor;
+  const std::vector<int> all = {0, 1, 2};
+  advance(cursor, order, page_up_to(5, 1, "d"), all, {2});  // slice 2 was not in
+  auto needed = slices_needed(cursor, all);
+  ASSERT_EQ(needed.size(), 3u);
+  EXPECT_EQ(needed[0].second->id, "d");
+  EXPECT_EQ(needed[2].second, nullptr);  // from its start
+  // It comes back; its hits up to (3, slice 2, x) fill the page: the others stay where they stand.
+  advance(cursor, order, page_up_to(3, 2, "x"), all, {});
+  needed = slices_needed(cursor, all);
+  EXPECT_EQ(needed[0].second->keys.at(0), Value(5));
+  EXPECT_EQ(needed[2].second->keys.at(0), Value(3));
+  // Missing again, it stays behind; then it catches up.
+  advance(cursor, order, page_up_to(7, 0, "q"), all, {2});
+  EXPECT_EQ(slices_needed(cursor, all)[2].second->keys.at(0), Value(3));
+  Page last = page_up_to(9, 2, "z");
+  last.finished = {0};
+  advance(cursor, order, last, all, {});
+  needed = slices_needed(cursor, all);
+  ASSERT_EQ(needed.size(), 2u);
+  EXPECT_EQ(needed[1].second->keys.at(0), Value(9));
+  EXPECT_TRUE(cursor.behind.empty());
+  // An empty page moves nothing.
+  advance(cursor, order, Page{}, {1, 2}, {1});
+  EXPECT_EQ(slices_needed(cursor, all).size(), 2u);
+  EXPECT_EQ(cursor.at->id, "z");
+}
+
+TEST(Cursors, AreReadBackAsTheyWereWritten) {
+  Cursor c;
+  c.number = 18'446'744'073'709'551'557u;
+  c.team = "owners";
+  c.opened = WallClock::time_point(1000ms);
+  c.expires = WallClock::time_point(1'900'000'000'000ms);
+  c.indices = {"lifts", "escalators"};
+  c.filters = {Value(), parsed(R"({"term":{"site":"derby"}})")};
+  c.search = parsed(R"({"size":3})");
+  c.at = Position{{1.5, std::int64_t{9'007'199'254'740'993}, Value()}, 2, "d\"1"};
+  c.behind[4] = std::nullopt;
+  c.behind[5] = Position{{"x"}, 5, "y"};
+  c.finished = {1, 3};
+  c.total = 12;
+  const auto read = read_cursor(write_cursor(c));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(json::write(write_cursor(*read)), json::write(write_cursor(c)));
+  EXPECT_EQ(read->number, c.number);
+  EXPECT_EQ(read->at->keys.at(1).integer(), 9'007'199'254'740'993);
+  for (const char* wrong : {"{}", "[]", R"({"kind":"scroln"})", R"({"kind":"scroll","behind":[[1]]})"})
+    EXPECT_FALSE(read_cursor(parsed(wrong))) << wrong;
+}
+
+TEST(CursorKeys, AreCheckedLineByLine) {
+  ASSERT_GE(sodium_init(), 0);
+  const std::string hex(64, 'a');
+  std::string problem;
+  EXPECT_EQ(read_cursor_keys("one " + hex + "\n# none\n\ntwo " + hex + " # old\n", problem)->size(), 2u);
+  for (const std::string& wrong :
+       std::vector<std::string>{"", "one", "one " + hex.substr(1), "one " + hex + "a",
+                                "one " + std::string(64, 'x'), std::string(33, 'n') + " " + hex}) {
+    EXPECT_FALSE(read_cursor_keys(wrong, problem)) << wrong;
+    EXPECT_EQ(problem.find("aaaa"), std::string::npos);  // a key is no log line
+  }
+}
+
+TEST(CursorBook, IsBoundedAndForgetsWhatExpired) {
+  CursorBook book({3, 5});
+  const WallClock::time_point now = WallClock::now();
+  const auto cursor = [&](std::uint64_t number, const char* team, Duration keep) {
+    Cursor c;
+    c.number = number;
+    c.team = team;
+    c.opened = now;
+    c.expires = now + std::chrono::duration_cast<WallClock::duration>(keep);
+    return c;
+  };
+  for (std::uint64_t i = 0; i < 3; ++i) EXPECT_TRUE(book.open(cursor(i, "a", 1min), now));
+  EXPECT_FALSE(book.open(cursor(3, "a", 1min), now));
+  EXPECT_TRUE(book.open(cursor(4, "b", 1min), now));
+  EXPECT_TRUE(book.open(cursor(5, "b", 1min), now));
+  EXPECT_FALSE(book.open(cursor(6, "c", 1min), now));   // all together
+  EXPECT_TRUE(book.renew(cursor(99, "c", 1min), now));  // opened elsewhere: served, not counted
+  EXPECT_EQ(book.size(), 5u);
+  EXPECT_TRUE(book.clear(cursor(0, "a", 1min), now));
+  EXPECT_FALSE(book.clear(cursor(0, "a", 1min), now));
+  EXPECT_FALSE(book.renew(cursor(0, "a", 1min), now));
+  EXPECT_TRUE(book.open(cursor(7, "a", 1min), now));
+  EXPECT_EQ(book.clear_all("b", Cursor::Kind::scroll, now), 2u);
+  EXPECT_FALSE(book.renew(cursor(77, "b", 1min), now));     // also those that another coordinator opened
+  EXPECT_TRUE(book.open(cursor(8, "a", 2min), now + 61s));  // a minute later all are forgotten
+  EXPECT_EQ(book.size(), 1u);
+  // Clearing without end does not grow it.
+  for (std::uint64_t i = 100; i < 300; ++i) book.clear(cursor(i, "a", 1min), now + 61s);
+}
+
+// ---- many at once ----
+TEST(Fanout, SharesFairlyAndGivesWay) {
+  Fanout fanout({12, 8});
+  Fanout::Share first(fanout, 0);
+  const auto fill = [](Fanout::Share& share) {
+    std::size_t started = 0;
+    for (; share.may_start(); ++started) share.started();
+    return started;
+  };
+  EXPECT_EQ(fill(first), 8u);  // alone: the bound of one
+  Fanout::Share second(fanout, 0), third(fanout, 2);
+  EXPECT_EQ(first.window(), 4u);
+  EXPECT_FALSE(first.may_start());
+  EXPECT_EQ(fill(second), 4u);  // what there is: 12 in all
+  EXPECT_EQ(fill(third), 1u);   // one of each goes on
+  for (int i = 0; i < 5; ++i) first.ended();
+  EXPECT_EQ(fill(third), 1u);  // as many as it asked for at once
+  EXPECT_EQ(fill(first), 1u);  // up to its fair part
+}
+
+TEST(Fanout, AWindowHalvesOnRefusalsAndGrowsBack) {
+  Fanout fanout({48, 16});
+  Fanout::Share share(fanout, 0);
+  const TimePoint now = Clock::now();
+  EXPECT_EQ(share.window(), 16u);
+  share.refused(now, 500ms);
+  share.refused(now + 1ms, 500ms);  // of one cause
+  EXPECT_EQ(share.window(), 8u);
+  share.refused(now + 60ms, 500ms);
+  EXPECT_EQ(share.window(), 4u);
+  for (int i = 0; i < 5; ++i) share.went_through();
+  EXPECT_EQ(share.window(), 5u);
+  for (int i = 0; i < 8; ++i) share.refused(now + 100ms, 500ms);
+  EXPECT_EQ(share.hopeless_for(now + 200ms), Duration(400ms));
+  EXPECT_EQ(share.hopeless_for(now + 700ms), Duration::zero());
+  share.went_through();
+  EXPECT_EQ(share.hopeless_for(now + 200ms), Duration::zero());
+}
+
+TEST(Bulks, AreReadLineByLine) {
+  Lines lines(20);
+  lines.feed("one\r\ntw");
+  EXPECT_EQ(lines.next(), "one");
+  EXPECT_FALSE(lines.next());
+  lines.feed("o\n\nlast");
+  EXPECT_EQ(lines.next(), "two");
+  EXPECT_EQ(lines.next(), "");
+  EXPECT_FALSE(lines.next());
+  lines.end();
+  EXPECT_EQ(lines.next(), "last");
+  EXPECT_FALSE(lines.next());
+  lines.feed(std::string(21, 'x'));
+  EXPECT_FALSE(lines.next());
+  EXPECT_TRUE(lines.too_long());
+
+  BulkReader reader("lifts", {});
+  EXPECT_FALSE(reader.line(R"({"index":{"_id":7,"routing":"r"}})"));
+  const auto item = reader.line(R"({"a":1})");
+  ASSERT_TRUE(item);
+  EXPECT_EQ(item->id + item->index + item->routing + item->document, R"(7liftsr{"a":1})");
+  EXPECT_EQ(reader.line(R"({"delete":{"_id":"1"}})")->action, BulkItem::Action::erase);
+  EXPECT_FALSE(reader.line("  "));
+  EXPECT_FALSE(reader.line(R"({"create":{"_id":"1"}})"));
+  EXPECT_NE(reader.line("[1]")->problem, "");
+  EXPECT_FALSE(reader.line(R"({"index":{"_id":")" + std::string(513, 'i') + "\"}}"));
+  EXPECT_NE(reader.line("{}")->problem, "");
+  for (const char* wrong : {"{}", "x", R"({"upsert":{}})", R"({"index":1})", R"({"index":{},"create":{}})"})
+    EXPECT_NE(refusal_of([&] { reader.line(wrong); }), "") << wrong;
+  EXPECT_NE(write_key("", "a", "bc", ""), write_key("", "ab", "c", ""));
+  EXPECT_EQ(write_key("k", "a", "b", "c"), write_key("k", "a", "b", "c"));
+}
+
+TEST(Tasks, AreSeenAndStoppedByTheirTeam) {
+  TaskBook book;
+  int stopped = 0;
+  TaskBook::Entry entry;
+  entry.team = "a";
+  entry.cancel = [&] { ++stopped; };
+  const TaskBook::Running parent(book, entry);
+  entry.parent = parent.id();
+  const TaskBook::Running child(book, entry);
+  entry.cancel = nullptr;
+  entry.parent = 0;
+  const TaskBook::Running bulk(book, entry);
+  EXPECT_EQ(book.of("a").size(), 3u);
+  EXPECT_EQ(book.of("b").size(), 0u);
+  EXPECT_FALSE(book.cancel(parent.id(), "b"));
+  EXPECT_FALSE(book.cancel(bulk.id(), "a"));
+  EXPECT_TRUE(book.cancel(parent.id(), "a"));
+  EXPECT_EQ(stopped, 2);
+  EXPECT_TRUE(child.cancelled());
+  EXPECT_FALSE(bulk.cancelled());
+  EXPECT_TRUE(book.cancel(parent.id(), "a"));
+  EXPECT_EQ(stopped, 2);  // once
+}
+
+TEST(Templates, AreBoundedAndEscaped) {
+  const auto render = [](const char* source, const char* parameters) {
+    return json::write(render_template(Value(source), parsed(parameters), 500, {}));
+  };
+  EXPECT_EQ(render(R"({"a":"{{x}}"})", R"({"x":"\"},{"})"), R"({"a":"\"},{"})");
+  EXPECT_EQ(render(R"({"a":[{{#l}}{{.}},{{/l}}0]})", R"({"l":[1,2]})"), R"({"a":[1,2,0]})");
+  EXPECT_NE(refusal_of([&] {
+              render(R"({"a":"{{#l}}{{#l}}{{#l}}xxxxxxxxxx{{/l}}{{/l}}{{/l}}"})",
+                     R"({"l":[1,2,3,4,5,6,7,8,9]})");
+            }).find("longer than 500"),
+            std::string::npos);
+}
+
+// ---- what the fuzzers found ----
+TEST(Found, ABucketWithoutAKeyIsAnError) {
+  Parameters none;
+  const SearchRequest request =
+      read_search(parsed(R"({"aggs":{"h":{"histogram":{"field":"n","interval":1}}}})"), none, {});
+  for (const char* key : {R"("x")", "null", "1e300", R"("")"}) {
+    Reducer reducer(request, {}, [](int) { return std::string(); });
+    const std::string value = std::string(R"({"hits":{"hits":[]},"aggregations":{"h":{"buckets":[{"key":)") +
+                              key + R"(,"doc_count":1}]}}})";
+    ASSERT_TRUE(reducer.usable(1, 0, value));
+    reducer.take(1, 0, 0, value);
+    EXPECT_NE(refusal_of([&] { reducer.page(true); }), "") << key;
+  }
+  for (const char* body : {R"({"field":"n","interval":1,"extended_bounds":{"min":0,"max":1e300}})",
+                           R"({"field":"n","interval":1e300})"})
+    EXPECT_NE(refusal_of([&] {
+                read_search(parsed(std::string(R"({"aggs":{"h":{"histogram":)") + body + "}}}"), none, {});
+              }),
+              "")
+        << body;
+}
+
+TEST(ItemStream, GivesItemsAsSoonAsTheyAreWhole) {
+  json::ItemStream stream("responses", 40);
+  stream.feed(R"({"took":[1,{"responses":[9]}],"responses":[{"a":"]}"},[1)");
+  EXPECT_EQ(stream.next(), R"({"a":"]}"})");
+  EXPECT_FALSE(stream.next());
+  stream.feed("] , 7");
+  EXPECT_EQ(stream.next(), "[1]");
+  EXPECT_FALSE(stream.next());
+  stream.feed("]}");
+  EXPECT_EQ(stream.next(), "7");
+  EXPECT_FALSE(stream.next());
+  EXPECT_TRUE(stream.done());
+  for (const std::string& wrong :
+       std::vector<std::string>{"[1]", "x", "}", R"({"responses":[")" + std::string(60, 'a')}) {
+    json::ItemStream other("responses", 40);
+    other.feed(wrong);
+    while (other.next()) {
+    }
+    EXPECT_TRUE(other.bad()) << wrong;
+  }
+}
+
+}  // namespace
+}  // namespace kelpdeal::search
