--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -85,8 +85,9 @@
 // Whether it is one whole JSON text; builds nothing, so that only the depth needs a bound.
 bool valid(std::string_view text, const Bounds& bounds = {256, static_cast<std::size_t>(-1)});
 
-// Goes through the members of an object, or the items of an array, without building values. For text that
-// valid() has passed; of any other text it may give anything that lies within it.
+// Goes through the members of an object, or the items of an array, without building values. The text may go
+// on behind its end. For text that valid() has passed; of any other text it may give anything that lies
+// within it. What is not asked for is not looked at: a value is passed over only once the next one is wanted.
 class Walk {
  public:
   explicit Walk(std::string_view text);
@@ -95,14 +96,24 @@
   // False at the end.
   bool next();
   std::string_view name() const { return name_; }  // of a member, escapes as written
-  std::string_view raw() const { return raw_; }
+  // The value's text.
+  std::string_view raw();
+  // The same, and all that stands behind it: for another Walk.
+  std::string_view from_here() const { return text_.substr(value_at_); }
+  // Where another one over this value came to its end, so that it need not be passed over again.
+  void ended_at(const char* end) {
+    if (end) at_ = static_cast<std::size_t>(end - text_.data());
+  }
+  // Behind the closing bracket, once next() has found it; null before.
+  const char* end() const { return closed_ ? text_.data() + at_ : nullptr; }
 
  private:
-  std::string_view text_, name_, raw_;
-  std::size_t at_ = 0;
+  std::string_view text_, name_;
+  std::size_t at_ = 0, value_at_ = 0;  // `at_` is at `value_at_` as long as the value is not passed over
   char open_ = 0;
+  bool begun_ = false, closed_ = false;
 };
-// The raw text of a member (the last of that name), or nothing.
+// The raw text of a member (the first of that name), or nothing.
 std::optional<std::string_view> member(std::string_view object, std::string_view name);
 // A string as it is meant; the text itself if it has no quotes.
 std::string unquote(std::string_view raw);
--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -82,8 +82,9 @@
   AggregationReduce(const Aggregations& asked, const AggregationBounds& bounds);
   // True if `raw`, a slice's "aggregations", holds all that was asked for.
   static bool usable(const Aggregations& asked, std::string_view raw);
-  // `raw` has to be valid JSON. Throws ApiError if it does not go together with the others.
-  void add(std::string_view raw);
+  // `from` is where a slice's "aggregations" begin, in valid JSON. Throws ApiError if they do not go together
+  // with the others.
+  void add(std::string_view from);
   json::Object render(bool typed_keys) const;
 
  private:
@@ -114,12 +115,14 @@
     std::vector<State> inside;
   };
   static std::vector<State> start(const Aggregations& asked);
-  void add_all(std::vector<State>& states, std::string_view raw);
-  void add_one(State& state, std::string_view raw);
-  void add_terms(State& state, std::string_view raw);
-  void add_buckets(State& state, std::string_view raw);
-  void add_bucket(Bucket& bucket, std::string_view raw);
-  static Bucket& place(State& state, std::string_view key);
+  const char* add_all(std::vector<State>& states, std::string_view from);
+  const char* add_one(State& state, std::string_view from);
+  const char* add_terms(State& state, std::string_view from);
+  std::size_t add_term(State& state, json::Walk& members, std::uint64_t& count);
+  const char* add_buckets(State& state, std::string_view from);
+  Bucket& bucket_of(State& state, json::Walk& buckets, std::size_t number);
+  const char* add_bucket(Bucket& bucket, std::string_view from);
+  static std::pair<Bucket&, bool> place(State& state, std::string_view key);
   json::Object render(const std::vector<State>& states, bool typed) const;
   json::Value render_one(const State& state, bool typed) const;
   json::Value render_buckets(const State& state, bool typed) const;
--- a/include/kelpdeal/search/reduce.h
+++ b/include/kelpdeal/search/reduce.h
@@ -65,12 +65,13 @@
   bool read_hit(std::string_view raw, int shard, double score, Hit& hit) const;
   void write_hit(Hit& hit) const;
   bool before(const Hit& a, const Hit& b) const;
-  void merge(int shard, std::string_view hits);
+  const char* merge(int shard, std::string_view hits);
   void merge(std::vector<Hit> sorted);
 
   const SearchRequest& request_;
   const std::function<std::string(int)> index_of_;
   const std::size_t most_;
+  const bool last_wanted_;  // hits are the last that is wanted of a slice's answer
   std::vector<Hit> top_;  // sorted
   AggregationReduce aggregations_;
   std::uint64_t total_ = 0;
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -2,8 +2,11 @@
 #include "kelpdeal/json.h"
 
 #include <algorithm>
+#include <array>
+#include <bit>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 
 namespace kelpdeal::json {
 
@@ -61,8 +64,27 @@
 
 constexpr double kExactInDouble = 9007199254740992.0;  // 2^53
 
-// Builds the value, or only checks that there is one.
-template <bool kBuild>
+// Where a quote, a backslash or a control character stands, looking at eight bytes at a time.
+std::size_t plain_until(std::string_view text, std::size_t at) {
+  constexpr std::uint64_t ones = 0x0101010101010101u, highs = 0x8080808080808080u;
+  const auto has_zero = [](std::uint64_t v) { return (v - ones) & ~v & highs; };
+  while (at + 8 <= text.size()) {
+    std::uint64_t v = 0;
+    std::memcpy(&v, text.data() + at, 8);
+    const std::uint64_t found =
+        ((v - ones * 0x20) & ~v & highs) | has_zero(v ^ ones * '"') | has_zero(v ^ ones * '\\');
+    // The lowest mark is right; those above it may be carried over.
+    if (found && std::endian::native == std::endian::little)
+      return at + static_cast<std::size_t>(std::countr_zero(found)) / 8;
+    if (found) break;
+    at += 8;
+  }
+  while (at < text.size() && text[at] != '"' && text[at] != '\\' &&
+         static_cast<unsigned char>(text[at]) >= 0x20)
+    ++at;
+  return at;
+}
+
 class Reader {
  public:
   Reader(std::string_view text, const Bounds& bounds) : text_(text), bounds_(bounds) {}
@@ -139,12 +161,12 @@
         space();
         if (!take(':')) return fail("expected a colon");
         if (!read(member.second, depth + 1)) return false;
-        if constexpr (kBuild) members.push_back(std::move(member));
+        members.push_back(std::move(member));
         space();
       } while (take(','));
       if (!take('}')) return fail("expected , or }");
     }
-    if constexpr (kBuild) value = Value(std::move(members));
+    value = Value(std::move(members));
     return true;
   }
 
@@ -156,12 +178,12 @@
       do {
         Value item;
         if (!read(item, depth + 1)) return false;
-        if constexpr (kBuild) items.push_back(std::move(item));
+        items.push_back(std::move(item));
         space();
       } while (take(','));
       if (!take(']')) return fail("expected , or ]");
     }
-    if constexpr (kBuild) value = Value(std::move(items));
+    value = Value(std::move(items));
     return true;
   }
 
@@ -186,7 +208,6 @@
     double number = 0;
     const auto got = std::from_chars(text_.data() + start, text_.data() + at_, number);
     if (got.ec != std::errc() || !std::isfinite(number)) return fail("number out of range");
-    if constexpr (!kBuild) return true;
     std::int64_t exact = 0;
     if (at_ == whole_end && std::abs(number) >= kExactInDouble &&
         std::from_chars(text_.data() + start, text_.data() + at_, exact).ec == std::errc())
@@ -226,10 +247,8 @@
     ++at_;
     while (at_ < text_.size()) {
       const std::size_t from = at_;
-      while (at_ < text_.size() && text_[at_] != '"' && text_[at_] != '\\' &&
-             static_cast<unsigned char>(text_[at_]) >= 0x20)
-        ++at_;
-      if constexpr (kBuild) out.append(text_, from, at_ - from);
+      at_ = plain_until(text_, at_);
+      out.append(text_, from, at_ - from);
       if (at_ >= text_.size()) break;
       const char c = text_[at_++];
       if (c == '"') return true;
@@ -325,24 +344,7 @@
 }  // namespace
 
 std::optional<Value> parse(std::string_view text, std::string& error, const Bounds& bounds) {
-  return Reader<true>(text, bounds).whole(error);
-}
-
-bool valid(std::string_view text, const Bounds& bounds) {
-  std::string error;
-  return Reader<false>(text, bounds).whole(error).has_value();
-}
-
-std::string write(const Value& value) {
-  std::string out;
-  append(out, value, -1);
-  return out;
-}
-
-std::string write_pretty(const Value& value) {
-  std::string out;
-  append(out, value, 0);
-  return out + '\n';
+  return Reader(text, bounds).whole(error);
 }
 
 namespace {
@@ -364,9 +366,157 @@
   }
 }
 
+}  // namespace
+
+namespace {
+
+// Says what Reader says, without building anything: node answers of many MB go through it.
+class Checker {
+ public:
+  Checker(std::string_view text, const Bounds& bounds) : text_(text), bounds_(bounds) {}
+
+  bool whole() {
+    std::string open;  // the brackets that are open
+    std::size_t values = 0;
+    for (;;) {
+      // A value is expected.
+      if (open.size() > bounds_.depth || ++values > bounds_.values) return false;
+      space();
+      const char c = at_ < text_.size() ? text_[at_] : '\0';
+      bool entered = false;
+      if (c == '{' || c == '[') {
+        ++at_;
+        open += c;
+        entered = true;
+      } else if (c == '"'   ? !string()
+                 : c == 't' ? !word("true")
+                 : c == 'f' ? !word("false")
+                 : c == 'n' ? !word("null")
+                            : !number()) {
+        return false;
+      }
+      // Behind a value, or within what was entered: up to the next value, or to the end.
+      for (;;) {
+        space();
+        if (open.empty()) return at_ == text_.size();
+        if (at_ >= text_.size()) return false;
+        const char sign = text_[at_];
+        if (sign == (open.back() == '{' ? '}' : ']')) {
+          ++at_;
+          open.pop_back();
+          entered = false;
+          continue;
+        }
+        if (!entered) {
+          if (sign != ',') return false;
+          ++at_;
+          space();
+        }
+        if (open.back() == '{') {
+          if (at_ >= text_.size() || text_[at_] != '"' || !string()) return false;
+          space();
+          if (at_ >= text_.size() || text_[at_++] != ':') return false;
+        }
+        break;
+      }
+    }
+  }
+
+ private:
+  void space() {
+    while (at_ < text_.size() &&
+           (text_[at_] == ' ' || text_[at_] == '\n' || text_[at_] == '\r' || text_[at_] == '\t'))
+      ++at_;
+  }
+  bool word(std::string_view expected) {
+    if (text_.substr(at_, expected.size()) != expected) return false;
+    at_ += expected.size();
+    return true;
+  }
+  std::size_t digits() {
+    const std::size_t from = at_;
+    while (at_ < text_.size() && text_[at_] >= '0' && text_[at_] <= '9') ++at_;
+    return at_ - from;
+  }
+  bool number() {
+    const std::size_t start = at_;
+    if (at_ < text_.size() && text_[at_] == '-') ++at_;
+    const bool zero = at_ < text_.size() && text_[at_] == '0';
+    const std::size_t whole = digits();
+    if (whole == 0 || (zero && whole > 1)) return false;
+    if (at_ < text_.size() && text_[at_] == '.') {
+      ++at_;
+      if (digits() == 0) return false;
+    }
+    const bool power = at_ < text_.size() && (text_[at_] == 'e' || text_[at_] == 'E');
+    if (power) {
+      ++at_;
+      if (at_ < text_.size() && (text_[at_] == '+' || text_[at_] == '-')) ++at_;
+      if (digits() == 0) return false;
+    }
+    // Only long numbers, and those with an exponent, can be out of range.
+    if (!power && at_ - start < 300) return true;
+    double value = 0;
+    const auto got = std::from_chars(text_.data() + start, text_.data() + at_, value);
+    return got.ec == std::errc() && std::isfinite(value);
+  }
+  bool string() {
+    const std::size_t start = at_++;
+    for (;;) {
+      at_ = plain_until(text_, at_);
+      if (at_ >= text_.size()) return false;
+      if (text_[at_] == '"') return ++at_, true;
+      if (text_[at_] != '\\' || at_ + 1 >= text_.size()) return false;
+      const char escape = text_[at_ + 1];
+      if (escape == 'u') {
+        // Pairs of surrogates have rules of their own: the one reader that knows them looks at the string.
+        const std::size_t end = after_string(text_, start + 1);
+        std::string error;
+        if (!parse(text_.substr(start, end - start), error)) return false;
+        at_ = end;
+        return true;
+      }
+      if (std::string_view("\"\\/bfnrt").find(escape) == std::string_view::npos) return false;
+      at_ += 2;
+    }
+  }
+
+  std::string_view text_;
+  const Bounds& bounds_;
+  std::size_t at_ = 0;
+};
+
+}  // namespace
+
+bool valid(std::string_view text, const Bounds& bounds) { return Checker(text, bounds).whole(); }
+
+std::string write(const Value& value) {
+  std::string out;
+  append(out, value, -1);
+  return out;
+}
+
+std::string write_pretty(const Value& value) {
+  std::string out;
+  append(out, value, 0);
+  return out + '\n';
+}
+
+namespace {
+
+// What ends a run of characters that a value is passed over by.
+constexpr std::array<bool, 256> kSigns = [] {
+  std::array<bool, 256> signs{};
+  for (const unsigned char c : {'"', '{', '}', '[', ']', ','}) signs[c] = true;
+  return signs;
+}();
+
 std::size_t after_value(std::string_view text, std::size_t at) {
   std::size_t depth = 0;
-  while (at < text.size()) {
+  const std::size_t size = text.size();
+  while (at < size) {
+    while (at < size && !kSigns[static_cast<unsigned char>(text[at])]) ++at;
+    if (at >= size) break;
     const char c = text[at];
     if (c == '"') {
       at = after_string(text, at + 1);
@@ -374,15 +524,14 @@
       ++depth;
       ++at;
       continue;
-    } else if (c == '}' || c == ']') {
+    } else if (c == ',') {
       if (depth == 0) return at;
-      --depth;
       ++at;
-    } else if (c == ',' && depth == 0) {
-      return at;
+      continue;
     } else {
+      if (depth == 0) return at;
+      --depth;
       ++at;
-      continue;
     }
     if (depth == 0) return at;
   }
@@ -397,10 +546,16 @@
 }
 
 bool Walk::next() {
-  if (!open_) return false;
+  if (!open_ || closed_) return false;
+  if (begun_ && at_ == value_at_) at_ = after_value(text_, at_);
+  begun_ = true;
   at_ = after_space(text_, at_);
   if (at_ < text_.size() && text_[at_] == ',') at_ = after_space(text_, at_ + 1);
-  if (at_ >= text_.size() || text_[at_] == '}' || text_[at_] == ']') return false;
+  if (at_ >= text_.size() || text_[at_] == '}' || text_[at_] == ']') {
+    if (at_ < text_.size()) ++at_;
+    closed_ = true;
+    return false;
+  }
   if (open_ == '{') {
     const std::size_t from = at_ + 1;
     at_ = after_string(text_, from);
@@ -408,18 +563,27 @@
     at_ = after_space(text_, at_);
     if (at_ < text_.size() && text_[at_] == ':') at_ = after_space(text_, at_ + 1);
   }
-  const std::size_t from = at_;
-  at_ = after_value(text_, at_);
-  raw_ = text_.substr(from, at_ - from);
-  while (!raw_.empty() && static_cast<unsigned char>(raw_.back()) <= ' ') raw_.remove_suffix(1);
-  return at_ > from;
+  value_at_ = at_;
+  // Guards against standing still at what is no value.
+  if (at_ >= text_.size() || text_[at_] == ',' || text_[at_] == '}' || text_[at_] == ']') {
+    closed_ = true;
+    return false;
+  }
+  return true;
+}
+
+std::string_view Walk::raw() {
+  if (at_ == value_at_) at_ = after_value(text_, at_);
+  std::string_view value = text_.substr(value_at_, at_ - value_at_);
+  while (!value.empty() && static_cast<unsigned char>(value.back()) <= ' ') value.remove_suffix(1);
+  return value;
 }
 
 std::optional<std::string_view> member(std::string_view object, std::string_view name) {
   std::optional<std::string_view> found;
   Walk walk(object);
   if (!walk.is_object()) return found;
-  while (walk.next())
+  while (!found && walk.next())
     if (walk.name() == name) found = walk.raw();
   return found;
 }
--- a/src/search/aggregations.cpp
+++ b/src/search/aggregations.cpp
@@ -490,28 +490,28 @@
   });
 }
 
-void AggregationReduce::add(std::string_view raw) { add_all(states_, raw); }
+void AggregationReduce::add(std::string_view from) { add_all(states_, from); }
 
-void AggregationReduce::add_all(std::vector<State>& states, std::string_view raw) {
-  json::Walk walk(raw);
-  if (!walk.is_object()) return;
+// These take the text from where their value begins, and give where it ends, so that nothing is passed over
+// twice.
+const char* AggregationReduce::add_all(std::vector<State>& states, std::string_view from) {
+  json::Walk walk(from);
+  if (!walk.is_object()) return nullptr;
   while (walk.next())
     for (State& state : states)
-      if (walk.name() == state.asked->name) add_one(state, walk.raw());
+      if (walk.name() == state.asked->name) walk.ended_at(add_one(state, walk.from_here()));
+  return walk.end();
 }
 
-void AggregationReduce::add_one(State& state, std::string_view raw) {
+const char* AggregationReduce::add_one(State& state, std::string_view from) {
   const Aggregation& asked = *state.asked;
-  if (asked.kind == Kind::terms) return add_terms(state, raw);
-  if (asked.kind == Kind::single) {
-    Bucket& bucket = place(state, "");
-    return add_bucket(bucket, raw);
-  }
-  if (!asked.metric()) return add_buckets(state, raw);
+  if (asked.kind == Kind::terms) return add_terms(state, from);
+  if (asked.kind == Kind::single) return add_bucket(place(state, "").first, from);
+  if (!asked.metric()) return add_buckets(state, from);
   Numbers& n = state.numbers;
   std::string_view min_text, max_text;
   std::optional<double> min, max;
-  json::Walk walk(raw);
+  json::Walk walk(from);
   while (walk.next()) {
     const std::string_view name = walk.name();
     const std::optional<double> value = any_number(walk.raw());
@@ -536,139 +536,111 @@
   }
   if (min && (!n.min || *min < *n.min)) n.min = min, n.min_text = json::unquote(min_text);
   if (max && (!n.max || *max > *n.max)) n.max = max, n.max_text = json::unquote(max_text);
+  return walk.end();
 }
 
-AggregationReduce::Bucket& AggregationReduce::place(State& state, std::string_view key) {
+// The bucket of a key, and whether it is new.
+std::pair<AggregationReduce::Bucket&, bool> AggregationReduce::place(State& state, std::string_view key) {
   const auto found = state.where.find(key);
-  if (found != state.where.end()) return state.buckets[found->second];
+  if (found != state.where.end()) return {state.buckets[found->second], false};
   state.where.emplace(std::string(key), state.buckets.size());
   Bucket& bucket = state.buckets.emplace_back();
   bucket.inside = start(state.asked->inside);
-  return bucket;
+  return {bucket, true};
 }
 
-void AggregationReduce::add_bucket(Bucket& bucket, std::string_view raw) {
-  json::Walk walk(raw);
+const char* AggregationReduce::add_bucket(Bucket& bucket, std::string_view from) {
+  json::Walk walk(from);
   while (walk.next()) {
     if (walk.name() == "doc_count") {
       bucket.count += whole_number(walk.raw());
-      if (bucket.inside.empty()) return;
       continue;
     }
     for (State& inside : bucket.inside)
-      if (walk.name() == inside.asked->name) add_one(inside, walk.raw());
+      if (walk.name() == inside.asked->name) walk.ended_at(add_one(inside, walk.from_here()));
   }
+  return walk.end();
 }
 
-void AggregationReduce::add_terms(State& state, std::string_view raw) {
-  const Aggregation& asked = *state.asked;
+const char* AggregationReduce::add_terms(State& state, std::string_view from) {
   std::uint64_t other = 0, own_error = 0, last = 0;
   std::vector<std::size_t> given;  // the buckets that this slice gave
-  json::Walk walk(raw);
+  json::Walk walk(from);
   while (walk.next()) {
     if (walk.name() == "sum_other_doc_count") other = whole_number(walk.raw());
     if (walk.name() == "doc_count_error_upper_bound") own_error = whole_number(walk.raw());
     if (walk.name() != "buckets") continue;
-    json::Walk buckets(walk.raw());
+    json::Walk buckets(walk.from_here());
     while (buckets.next()) {
-      // The key is looked up as it is written: the same value is written the same way by every slice but for
-      // escapes and the forms of a number, which are read first.
-      std::string_view key, text, count;
-      json::Walk members(buckets.raw());
-      while (members.next()) {
-        if (members.name() == "key")
-          key = members.raw();
-        else if (members.name() == "key_as_string")
-          text = members.raw();
-        else if (members.name() == "doc_count")
-          count = members.raw();
-      }
-      const bool plain =
-          key.empty() || (key.front() == '"' ? key.find('\\') == std::string_view::npos
-                                             : key.find_first_of(".eE") == std::string_view::npos);
-      std::string read;
-      if (!plain) {
-        std::string error;
-        const auto value = json::parse(key, error);
-        if (value) key = read = json::write(*value);
-      }
-      const bool fresh = !state.where.contains(key);
-      Bucket& bucket = place(state, key);
-      if (fresh) {
-        std::string error;
-        bucket.key = json::parse(key, error).value_or(json::Value());
-        bucket.key_text = json::unquote(text);
-        if (!state.buckets.empty() && state.buckets.front().key.string() && !bucket.key.string())
-          illegal("aggregation [" + asked.name + "]: the slices hold keys of different types");
-      }
-      last = whole_number(count);
-      bucket.count += last;
-      given.push_back(static_cast<std::size_t>(&bucket - state.buckets.data()));
-      if (!bucket.inside.empty()) {
-        json::Walk again(buckets.raw());
-        while (again.next())
-          for (State& inside : bucket.inside)
-            if (again.name() == inside.asked->name) add_one(inside, again.raw());
-      }
+      json::Walk members(buckets.from_here());
+      const std::size_t bucket = add_term(state, members, last);
+      buckets.ended_at(members.end());
+      given.push_back(bucket);
     }
+    walk.ended_at(buckets.end());
   }
+  const Aggregation& asked = *state.asked;
   state.other += other;
   const bool by_key = asked.order.front().value == "_key";
   const bool by_count = asked.order.front().value == "_count" && asked.order.front().descending;
   if (!by_key && !by_count && other > 0) state.error_known = false;
   const std::uint64_t error = own_error + (by_count && other > 0 ? last : 0);
   state.error += error;
-  for (const std::size_t i : given) state.buckets[i].error_seen += error;
+  if (error > 0)
+    for (const std::size_t i : given) state.buckets[i].error_seen += error;
+  return walk.end();
+}
+
+// One bucket of a slice's terms; gives its place, and its count in `count`.
+std::size_t AggregationReduce::add_term(State& state, json::Walk& members, std::uint64_t& count) {
+  std::string_view key, text;
+  std::vector<std::pair<std::size_t, std::string_view>> inner;
+  while (members.next()) {
+    const std::string_view name = members.name();
+    if (name == "key")
+      key = members.raw();
+    else if (name == "doc_count")
+      count = whole_number(members.raw());
+    else if (name == "key_as_string")
+      text = members.raw();
+    else
+      for (std::size_t i = 0; i < state.asked->inside.size(); ++i)
+        if (name == state.asked->inside[i].name) inner.emplace_back(i, members.raw());
+  }
+  // The key is looked up as it is written: the same value is written the same way by every slice but for
+  // escapes and the forms of a number, which are read first.
+  const bool plain = key.empty() || (key.front() == '"' ? key.find('\\') == std::string_view::npos
+                                                        : key.find_first_of(".eE") == std::string_view::npos);
+  std::string read, error;
+  if (!plain) {
+    const auto value = json::parse(key, error);
+    if (value) key = read = json::write(*value);
+  }
+  const auto [bucket, fresh] = place(state, key);
+  if (fresh) {
+    bucket.key = json::parse(key, error).value_or(json::Value());
+    bucket.key_text = json::unquote(text);
+    if (state.buckets.front().key.string() && !bucket.key.string())
+      illegal("aggregation [" + state.asked->name + "]: the slices hold keys of different types");
+  }
+  bucket.count += count;
+  for (const auto& [i, raw] : inner) add_one(bucket.inside[i], raw);
+  return static_cast<std::size_t>(&bucket - state.buckets.data());
 }
 
 // Buckets that lie in a list, or by name.
-void AggregationReduce::add_buckets(State& state, std::string_view raw) {
-  const auto found = json::member(raw, "buckets");
-  if (!found) return;
-  json::Walk buckets(*found);
-  std::size_t number = 0;
-  while (buckets.next()) {
-    const Aggregation& asked = *state.asked;
-    std::string key;
-    std::string_view written, text;
-    json::Object fixed;
-    json::Walk members(buckets.raw());
-    while (members.next()) {
-      const std::string_view name = members.name();
-      if (name == "key")
-        written = members.raw();
-      else if (name == "key_as_string")
-        text = members.raw();
-      else if (name == "from" || name == "to" || name == "from_as_string" || name == "to_as_string")
-        fixed.emplace_back(std::string(name), json::Raw{std::string(members.raw())});
-    }
-    if (asked.kind == Kind::filters) {
-      key = buckets.is_object() ? json::unquote(buckets.name()) : std::to_string(number);
-    } else {
-      const auto value = any_number(written);
-      // Guards against a bucket that stands nowhere: the gaps between the others could not be told.
-      const bool histogram = asked.kind == Kind::histogram || asked.kind == Kind::date_histogram;
-      if (histogram && (!value || !(std::abs(*value) < kFarthest)))
-        throw ApiError{500,
-                       "aggregation_execution_exception",
-                       "aggregation [" + asked.name + "]: a slice gave a bucket without a key",
-                       {},
-                       {}};
-      key = value ? json::write(json::Value(*value)) : std::string(written);
-    }
-    ++number;
-    const bool fresh = !state.where.contains(key);
-    Bucket& bucket = place(state, key);
-    if (fresh) {
-      std::string error;
-      bucket.key = asked.kind == Kind::filters ? json::Value(key)
-                                               : json::parse(written, error).value_or(json::Value());
-      bucket.key_text = json::unquote(text);
-      bucket.fixed = std::move(fixed);
+const char* AggregationReduce::add_buckets(State& state, std::string_view from) {
+  json::Walk walk(from);
+  while (walk.next()) {
+    if (walk.name() != "buckets") continue;
+    json::Walk buckets(walk.from_here());
+    for (std::size_t number = 0; buckets.next(); ++number) {
+      const std::string_view raw = buckets.raw();
+      add_bucket(bucket_of(state, buckets, number), raw);
     }
-    add_bucket(bucket, buckets.raw());
+    walk.ended_at(buckets.end());
   }
-  if (state.asked->kind != Kind::range || ranges_.contains(state.asked)) return;
+  if (state.asked->kind != Kind::range || ranges_.contains(state.asked)) return walk.end();
   std::vector<Bucket>& shape = ranges_[state.asked];
   for (const Bucket& bucket : state.buckets) {
     Bucket& empty = shape.emplace_back();
@@ -676,6 +648,49 @@
     empty.key_text = bucket.key_text;
     empty.fixed = bucket.fixed;
   }
+  return walk.end();
+}
+
+// The bucket that the present one of `buckets` belongs to.
+AggregationReduce::Bucket& AggregationReduce::bucket_of(State& state, json::Walk& buckets,
+                                                        std::size_t number) {
+  const Aggregation& asked = *state.asked;
+  std::string key;
+  std::string_view written, text;
+  json::Object fixed;
+  json::Walk members(buckets.raw());
+  while (members.next()) {
+    const std::string_view name = members.name();
+    if (name == "key")
+      written = members.raw();
+    else if (name == "key_as_string")
+      text = members.raw();
+    else if (name == "from" || name == "to" || name == "from_as_string" || name == "to_as_string")
+      fixed.emplace_back(std::string(name), json::Raw{std::string(members.raw())});
+  }
+  if (asked.kind == Kind::filters) {
+    key = buckets.is_object() ? json::unquote(buckets.name()) : std::to_string(number);
+  } else {
+    const auto value = any_number(written);
+    // Guards against a bucket that stands nowhere: the gaps between the others could not be told.
+    const bool histogram = asked.kind == Kind::histogram || asked.kind == Kind::date_histogram;
+    if (histogram && (!value || !(std::abs(*value) < kFarthest)))
+      throw ApiError{500,
+                     "aggregation_execution_exception",
+                     "aggregation [" + asked.name + "]: a slice gave a bucket without a key",
+                     {},
+                     {}};
+    key = value ? json::write(json::Value(*value)) : std::string(written);
+  }
+  const auto [bucket, fresh] = place(state, key);
+  if (fresh) {
+    std::string error;
+    bucket.key =
+        asked.kind == Kind::filters ? json::Value(key) : json::parse(written, error).value_or(json::Value());
+    bucket.key_text = json::unquote(text);
+    bucket.fixed = std::move(fixed);
+  }
+  return bucket;
 }
 
 // ---- the answer ----
--- a/src/search/reduce.cpp
+++ b/src/search/reduce.cpp
@@ -15,13 +15,23 @@
   return value;
 }
 
-// "hits" of a search's answer, if it is one.
-std::optional<std::string_view> hits_of(std::string_view value) {
-  const auto hits = json::member(value, "hits");
-  if (!hits || !json::Walk(*hits).is_object()) return std::nullopt;
-  const auto list = json::member(*hits, "hits");
-  if (!list || !json::Walk(*list).is_array()) return std::nullopt;
-  return hits;
+// Where "hits" of a search's answer begin, and in them their list, if it is one.
+struct Found {
+  std::string_view hits, list;
+};
+std::optional<Found> hits_of(std::string_view value) {
+  json::Walk walk(value);
+  if (!walk.is_object()) return std::nullopt;
+  while (walk.next()) {
+    if (walk.name() != "hits") continue;
+    json::Walk hits(walk.from_here());
+    if (!hits.is_object()) return std::nullopt;
+    while (hits.next())
+      if (hits.name() == "hits" && json::Walk(hits.from_here()).is_array())
+        return Found{walk.from_here(), hits.from_here()};
+    return std::nullopt;
+  }
+  return std::nullopt;
 }
 
 // A slice that says that the request is at fault: its answer is the client's.
@@ -44,6 +54,15 @@
                   {}};
 }
 
+std::size_t keys_in(std::string_view hit) {
+  const auto keys = json::member(hit, "sort");
+  std::size_t count = 0;
+  if (!keys) return count;
+  json::Walk walk(*keys);
+  while (walk.next()) ++count;
+  return count;
+}
+
 json::Array read_array(std::string_view raw) {
   std::string error;
   auto value = json::parse(raw, error);
@@ -58,6 +77,10 @@
     : request_(request),
       index_of_(std::move(index_of)),
       most_(request.window()),
+      last_wanted_(
+          request.aggregations.empty() &&
+          std::none_of(request.members.begin(), request.members.end(),
+                       [](const json::Member& member) { return member.first == "terminate_after"; })),
       aggregations_(request.aggregations, bounds) {}
 
 bool Reducer::usable(int, int, const std::string& value) {
@@ -73,16 +96,10 @@
     if (!aggregations || !AggregationReduce::usable(request_.aggregations, *aggregations)) return false;
   }
   if (!request_.sorted()) return true;
-  json::Walk list(*json::member(*hits, "hits"));
-  while (list.next()) {
-    const auto keys = json::member(list.raw(), "sort");
-    if (!keys) return false;
-    std::size_t count = 0;
-    json::Walk walk(*keys);
-    while (walk.next()) ++count;
-    if (count != request_.sort.fields.size()) return false;
-  }
-  return true;
+  // The first hit shows whether the slice gives sort values; a later one without is found out as it is
+  // merged.
+  json::Walk list(hits->list);
+  return !list.next() || keys_in(list.raw()) == request_.sort.fields.size();
 }
 
 void Reducer::take(int step, int shard, double score, std::string value) {
@@ -93,7 +110,7 @@
       return;
     }
     if (!hits) return take_plain(step, shard, score, std::move(value));
-    if (step > 1) return replace(shard, *json::member(*hits, "hits"));
+    if (step > 1) return replace(shard, hits->list);
     take_search(shard, value);
   } catch (const ApiError& error) {
     if (!conflict_) conflict_ = error;
@@ -117,19 +134,28 @@
 void Reducer::take_search(int shard, std::string_view value) {
   json::Walk walk(value);
   while (walk.next()) {
-    if (walk.name() == "aggregations") aggregations_.add(walk.raw());
-    if (walk.name() == "terminated_early") terminated_early_ |= walk.raw() == "true";
-    if (walk.name() != "hits") continue;
-    std::optional<std::string_view> list;
-    json::Walk hits(walk.raw());
-    while (hits.next()) {
-      if (hits.name() == "total") read_total(hits.raw());
-      if (hits.name() == "hits") list = hits.raw();
-      if (hits.name() == "max_score")
-        if (const auto score = number_in(hits.raw()))
-          max_score_ = std::max(max_score_.value_or(*score), *score);
+    if (walk.name() == "aggregations") {
+      aggregations_.add(walk.from_here());
+    } else if (walk.name() == "terminated_early") {
+      terminated_early_ |= walk.raw() == "true";
+    } else if (walk.name() == "hits") {
+      json::Walk hits(walk.from_here());
+      bool total = !request_.total, best = false;
+      while (hits.next()) {
+        if (hits.name() == "total") read_total(hits.raw()), total = true;
+        if (hits.name() == "hits") {
+          const char* end = merge(shard, hits.from_here());
+          // What is left of a long list is not passed over where nothing behind it is wanted.
+          if (!end && total && best && last_wanted_) return;
+          hits.ended_at(end);
+        }
+        best |= hits.name() == "max_score";
+        if (hits.name() == "max_score")
+          if (const auto score = number_in(hits.raw()))
+            max_score_ = std::max(max_score_.value_or(*score), *score);
+      }
+      walk.ended_at(hits.end());
     }
-    if (list) merge(shard, *list);
   }
 }
 
@@ -200,22 +226,25 @@
   return a.slice != b.slice ? a.slice < b.slice : a.rank < b.rank;
 }
 
-void Reducer::merge(int shard, std::string_view list) {
+// Gives where the list ends, if all of it was looked at.
+const char* Reducer::merge(int shard, std::string_view list) {
   Slice& slice = slices_[shard];
   std::vector<Hit> sorted;
   json::Walk walk(list);
-  bool in_order = true;
+  bool in_order = true, over = false;
   while (walk.next()) {
     ++slice.given;
     // A slice gives its best first: behind one that is no better than all we hold, none is.
-    const bool over = top_.size() >= most_ && !sorted.empty() && in_order && request_.collapse.empty() &&
-                      !before(sorted.back(), top_.back());
-    if (over) {
-      if (!request_.total_order) return merge(std::move(sorted));
-      continue;  // still counted
-    }
+    over |= top_.size() >= most_ && !sorted.empty() && in_order && request_.collapse.empty() &&
+            !before(sorted.back(), top_.back());
+    if (over && !request_.total_order) break;
+    if (over) continue;  // still counted
     Hit hit;
-    if (!read_hit(walk.raw(), shard, 0, hit)) continue;
+    const std::string_view raw = walk.raw();
+    if (!read_hit(raw, shard, 0, hit)) continue;
+    if (hit.keys.size() != request_.sort.fields.size())
+      throw ApiError{
+          500, "search_phase_execution_exception", "a slice gave a hit without its sort values", {}, {}};
     hit.rank = slice.given;
     if (!sorted.empty() && before(hit, sorted.back())) in_order = false;
     sorted.push_back(std::move(hit));
@@ -225,6 +254,7 @@
     std::stable_sort(sorted.begin(), sorted.end(),
                      [this](const Hit& a, const Hit& b) { return before(a, b); });
   merge(std::move(sorted));
+  return walk.end();
 }
 
 void Reducer::merge(std::vector<Hit> sorted) {
