Let requests of many items give way to single searches

Change: what such requests may have open together is cut when singles are refused or take a fifth of their aim, and grows back as items go through; a run with the figures (bench/flood_run.cpp), a short one among the tests.

--- /dev/null
+++ b/bench/flood_run.cpp
@@ -0,0 +1,133 @@
+// SPDX-License-Identifier: MIT
+// Single searches beside floods of multi-searches and bulks, on loopback, with record nodes that have so many
+// cores and work so long on a part. Prints the singles' service without and with the floods, and with the
+// fan-out limits taken away.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+#include "../tests/conformance/library.h"
+
+namespace kelpdeal::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Outcome {
+  std::size_t asked = 0, in_time = 0, refused = 0, items = 0, items_done = 0;
+  std::vector<double> ms;
+  double service() const { return asked ? static_cast<double>(in_time) / static_cast<double>(asked) : 0; }
+  double percentile(double share) const {
+    if (ms.empty()) return 0;
+    std::vector<double> sorted = ms;
+    std::sort(sorted.begin(), sorted.end());
+    return sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+  }
+};
+
+// A node of two cores: parts wait for one of them, and take 8 ms each.
+struct Cores {
+  TimePoint free[2] = {};
+  Duration take(Duration work) {
+    TimePoint& core = free[0] <= free[1] ? free[0] : free[1];
+    const TimePoint now = Clock::now();
+    core = std::max(core, now) + work;
+    return core - now;
+  }
+};
+
+Outcome run(Api api, bool floods, bool bounded, Duration span) {
+  Options options;
+  if (!bounded) options.adjust = [](Limits& limits) { limits.fanout = limits.fanout_of_one = 100'000; };
+  Library library(api, {}, options);
+  std::vector<Cores> cores(library.world.nodes.size());
+  for (std::size_t i = 0; i < cores.size(); ++i) {
+    library.world.nodes[i]->trickles = true;
+    library.world.nodes[i]->behave = [&library, &cores, i](const Seen& part) {
+      Answer answer = library.answer(part);
+      answer.after = cores[i].take(8ms);
+      return answer;
+    };
+  }
+  Outcome outcome;
+  std::string searches, documents;
+  for (int i = 0; i < 100; ++i) searches += "{}\n{\"size\":0}\n";
+  for (int i = 0; i < 1000; ++i)
+    documents += "{\"index\":{\"_id\":\"f" + std::to_string(i) + "\"}}\n{\"site\":\"flood\"}\n";
+  bool over = false;
+  std::size_t running = 0;
+  const auto flood = [&](const char* target, const std::string& body, const char* list) -> Task<void> {
+    ++running;
+    while (!over) {
+      const json::Value answer = co_await library.get("POST", target, body);
+      if (const json::Value* items = answer.find(list); items && items->array())
+        for (const json::Value& item : *items->array()) {
+          ++outcome.items;
+          const double status = item.find("status") ? item.number_or("status", 0)
+                                                    : item.object()->front().second.number_or("status", 0);
+          outcome.items_done += status < 300;
+        }
+    }
+    --running;
+  };
+  const auto single = [&]() -> Task<void> {
+    ++running;
+    const TimePoint start = Clock::now();
+    const http::Response response =
+        co_await library.ask("POST", "/lifts/_search", R"({"size":5,"sort":["register"]})");
+    const Duration took = Clock::now() - start;
+    outcome.ms.push_back(FractionalMs(took).count());
+    outcome.in_time += response.status == 200 && took <= 500ms;
+    outcome.refused += response.status == 429;
+    --running;
+  };
+  library.world.run(
+      [&]() -> Task<void> {
+        for (int i = 0; i < 10; ++i)
+          co_await library.ask("POST", "/lifts/_search", "{}");  // latencies are known
+        if (floods) {
+          for (int i = 0; i < 4; ++i)
+            library.world.scheduler.spawn(flood("/lifts,escalators/_msearch", searches, "responses"));
+          for (int i = 0; i < 2; ++i)
+            library.world.scheduler.spawn(flood("/escalators/_bulk", documents, "items"));
+          co_await library.world.pause(300ms);
+        }
+        const TimePoint end = Clock::now() + span;
+        while (Clock::now() < end) {
+          ++outcome.asked;
+          library.world.scheduler.spawn(single());
+          co_await library.world.pause(25ms);
+        }
+        over = true;
+        while (running > 0) co_await library.world.pause(5ms);
+      }(),
+      span + 120s);
+  return outcome;
+}
+
+}  // namespace
+}  // namespace kelpdeal::test
+
+int main(int argc, char** argv) {
+  using namespace kelpdeal::test;
+  const auto span = std::chrono::seconds(argc > 1 ? std::atoi(argv[1]) : 10);
+  std::printf("%-24s %8s %8s %8s %8s %8s %8s %9s\n", "run", "asked", "service", "refused", "p50 ms", "p95 ms",
+              "p99 ms", "items/s");
+  for (const Api api : {Api::platform, Api::opensearch}) {
+    double alone = 0;
+    for (const auto& [name, floods, bounded] :
+         {std::tuple("alone", false, true), std::tuple("flooded", true, true),
+          std::tuple("flooded, no fan-out limit", true, false)}) {
+      const Outcome outcome = run(api, floods, bounded, span);
+      if (!floods) alone = outcome.service();
+      const std::string label = std::string(api == Api::platform ? "frames: " : "api: ") + name;
+      std::printf("%-34s %6zu %8.3f %8zu %8.1f %8.1f %8.1f %9.0f   kept %.3f\n", label.c_str(), outcome.asked,
+                  outcome.service(), outcome.refused, outcome.percentile(0.5), outcome.percentile(0.95),
+                  outcome.percentile(0.99),
+                  static_cast<double>(outcome.items_done) / static_cast<double>(span.count()),
+                  alone > 0 ? outcome.service() / alone : 0);
+      std::fflush(stdout);
+    }
+  }
+  return 0;
+}
--- a/include/kelpdeal/search/fanout.h
+++ b/include/kelpdeal/search/fanout.h
@@ -16,7 +16,14 @@
     std::size_t in_all = 48;      // items open at once over all such requests
     std::size_t of_request = 16;  // ... of one of them
   };
-  explicit Fanout(Bounds bounds) : bounds_(bounds) {}
+  explicit Fanout(Bounds bounds) : bounds_(bounds), width_(static_cast<double>(bounds.in_all)) {}
+
+  // How a single request went that runs beside those of many items. They give way to it: what they may have open
+  // together is cut when singles are refused or take a good part of their aim, and grows back as items go through
+  // (the law of congestion windows, with the singles' time as the sign).
+  void single_ended(bool refused, Duration took, Duration aim, TimePoint now);
+  // Items open at once over all such requests, as it stands.
+  std::size_t width() const { return width_ < 1 ? 1 : static_cast<std::size_t>(width_); }
 
   // One request of many items, for as long as it runs. Its window is its fair share of what may be open, cut
   // in half by each refusal that says that the coordinator or the nodes are full, and grown back by one with
@@ -53,6 +60,8 @@
   const Bounds bounds_;
   std::set<const Share*> shares_;
   std::size_t open_ = 0;
+  double width_;
+  TimePoint narrowed_{};
 };
 
 // What came of one item of a bulk, and what its client may do about it.
--- a/src/front/opensearch/call.h
+++ b/src/front/opensearch/call.h
@@ -15,6 +15,7 @@
   TimePoint received;
   std::string pattern, index, id, name, team, opaque;
   search::Parameters parameters{};
+  bool single = true;  // not one of many in a request
   // Whatever was not asked for by now is unknown.
   void check_parameters() const { parameters.check(http.path()); }
 };
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -253,6 +253,7 @@
   const std::string index = spec.text_or("_index", call.index), id = spec.text_or("_id", "");
   try {
     Call one{call.http, Clock::now(), call.pattern, index, id, {}, call.team, call.opaque};
+    one.single = false;
     const std::string routing = spec.text_or("routing", spec.text_or("_routing", ""));
     const json::Value* source = spec.find("_source");
     const json::Value* stored = spec.find("stored_fields");
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -177,6 +177,9 @@
   const search::TaskBook::Running running(tasks_, std::move(entry));
   found.reply = co_await broker_.serve(std::move(query), own);
   found.took = Clock::now() - call.received;
+  if (call.single)
+    fanout_.single_ended(found.reply.kind == Reply::Kind::refused, found.took,
+                         to_duration(FractionalMs(cls->aim_ms)), Clock::now());
 
   if (running.cancelled())
     throw ApiError{400, "task_cancelled_exception", "the search was cancelled", {}, {}};
@@ -231,6 +234,7 @@
                                        Mailbox<int>& done) {
   try {
     Call one{call.http, Clock::now(), call.pattern, call.index, {}, {}, call.team, call.opaque};
+    one.single = false;
     std::vector<std::pair<std::string, std::string>> given;
     for (const char* shared : {"typed_keys", "rest_total_hits_as_int", "search_type"})
       if (const auto value = call.http.parameter(shared)) given.emplace_back(shared, *value);
--- a/src/search/fanout.cpp
+++ b/src/search/fanout.cpp
@@ -12,8 +12,16 @@
 
 }  // namespace
 
+void Fanout::single_ended(bool refused, Duration took, Duration aim, TimePoint now) {
+  const bool slow = took * 5 > aim;
+  if (!refused && !slow) return;
+  if (narrowed_ != TimePoint{} && now - narrowed_ < kOneCause) return;
+  narrowed_ = now;
+  width_ = std::max(1.0, width_ * (refused ? 0.5 : 0.8));
+}
+
 std::size_t Fanout::fair() const {
-  const std::size_t share = bounds_.in_all / std::max<std::size_t>(shares_.size(), 1);
+  const std::size_t share = width() / std::max<std::size_t>(shares_.size(), 1);
   return std::clamp<std::size_t>(share, 1, bounds_.of_request);
 }
 
@@ -35,7 +43,7 @@
 
 bool Fanout::Share::may_start() const {
   // One item of each goes on whatever the others hold.
-  return open_ == 0 || (open_ < window() && fanout_.open_ < fanout_.bounds_.in_all);
+  return open_ == 0 || (open_ < window() && fanout_.open_ < fanout_.width());
 }
 
 void Fanout::Share::started() {
@@ -52,6 +60,9 @@
   refused_in_row_ = 0;
   hopeless_until_ = {};
   window_ = std::min(static_cast<double>(most_), window_ + 1 / std::max(window_, 1.0));
+  // By one with every four times that all that may be open went through.
+  fanout_.width_ =
+      std::min(static_cast<double>(fanout_.bounds_.in_all), fanout_.width_ + 0.25 / fanout_.width_);
 }
 
 void Fanout::Share::refused(TimePoint now, Duration advice) {
--- a/tests/conformance/hard_cases_test.cpp
+++ b/tests/conformance/hard_cases_test.cpp
@@ -2,6 +2,8 @@
 // The search API when things break: cursors over nodes and coordinators that come and go, answers that stand
 // still half way, bulks cut off or turned away, many searches at once.
 #include <algorithm>
+#include <array>
+#include <map>
 #include <set>
 
 #include "kelpdeal/opensearch_transport.h"
@@ -467,6 +469,55 @@
       100s);
 }
 
+// The same at length and with figures: bench/flood_run.cpp.
+TEST_P(HardCases, SingleSearchesGoOnBesideAFlood) {
+  Library library(GetParam());
+  std::map<Node*, std::array<TimePoint, 2>> cores;  // of each node; a part takes one of them for 8 ms
+  for (auto& node : library.world.nodes) {
+    node->trickles = true;
+    node->behave = [&, n = node.get()](const Seen& part) {
+      auto& [a, b] = cores[n];
+      TimePoint& core = a <= b ? a : b;
+      core = std::max(core, Clock::now()) + 8ms;
+      Answer answer = library.answer(part);
+      answer.after = core - Clock::now();
+      return answer;
+    };
+  }
+  std::string searches;
+  for (int i = 0; i < 100; ++i) searches += "{}\n{\"size\":0}\n";
+  bool over = false;
+  std::size_t running = 0, asked = 0, in_time = 0;
+  const auto flood = [&]() -> Task<void> {
+    ++running;
+    while (!over) co_await library.ask("POST", "/lifts,escalators/_msearch", searches);
+    --running;
+  };
+  const auto single = [&]() -> Task<void> {
+    ++running;
+    const TimePoint start = Clock::now();
+    const http::Response response = co_await library.ask("POST", "/lifts/_search", "{}");
+    in_time += response.status == 200 && Clock::now() - start <= 500ms;
+    --running;
+  };
+  library.world.run(
+      [&]() -> Task<void> {
+        for (int i = 0; i < 5; ++i) co_await library.ask("POST", "/lifts/_search", "{}");
+        for (int i = 0; i < 4; ++i) library.world.scheduler.spawn(flood());
+        for (int i = 0; i < 140; ++i) {
+          if (i == 60) asked = in_time = 0;  // the flood has found its width by now
+          ++asked;
+          library.world.scheduler.spawn(single());
+          co_await library.world.pause(25ms);
+        }
+        over = true;
+        while (running > 0) co_await library.world.pause(5ms);
+      }(),
+      60s);
+  // Without the limits on what such a request may hold, none is in time.
+  EXPECT_GE(in_time * 10, asked * 8) << in_time << " of " << asked;
+}
+
 INSTANTIATE_TEST_SUITE_P(Nodes, HardCases, testing::Values(Api::platform, Api::opensearch),
                          [](const auto& info) {
                            return info.param == Api::platform ? std::string("OverFrames")
--- a/tests/search_test.cpp
+++ b/tests/search_test.cpp
@@ -289,6 +289,26 @@
   EXPECT_EQ(share.hopeless_for(now + 200ms), Duration::zero());
 }
 
+TEST(Fanout, GivesWayToSinglesAndComesBack) {
+  Fanout fanout({48, 16});
+  Fanout::Share share(fanout, 0);
+  TimePoint now = Clock::now();
+  fanout.single_ended(false, 90ms, 500ms, now);  // as fast as it should be
+  EXPECT_EQ(fanout.width(), 48u);
+  fanout.single_ended(true, 5ms, 500ms, now);
+  fanout.single_ended(true, 5ms, 500ms, now + 10ms);  // of the same cause
+  EXPECT_EQ(fanout.width(), 24u);
+  fanout.single_ended(false, 120ms, 500ms, now + 60ms);
+  EXPECT_EQ(fanout.width(), 19u);
+  for (int i = 0; i < 100; ++i) fanout.single_ended(true, 5ms, 500ms, now += 100ms);
+  EXPECT_EQ(fanout.width(), 1u);
+  EXPECT_TRUE(share.may_start());  // one item of each goes on all the same
+  share.started();
+  EXPECT_FALSE(share.may_start());
+  for (int i = 0; i < 20'000; ++i) share.went_through();
+  EXPECT_EQ(fanout.width(), 48u);  // and no further
+}
+
 TEST(Bulks, AreReadLineByLine) {
   Lines lines(20);
   lines.feed("one\r\ntw");
