--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -355,14 +355,14 @@
   return at;
 }
 
-// `at` is behind the opening quote.
+// `at` is behind the opening quote. Most strings are short: eight bytes at a time finds their end sooner than
+// a call would.
 std::size_t after_string(std::string_view text, std::size_t at) {
-  for (;; ++at) {
-    at = text.find('"', at);
-    if (at == std::string_view::npos) return text.size();
-    std::size_t slashes = 0;
-    while (slashes < at && text[at - slashes - 1] == '\\') ++slashes;
-    if (slashes % 2 == 0) return at + 1;
+  for (;;) {
+    at = plain_until(text, at);
+    if (at >= text.size()) return text.size();
+    if (text[at] == '"') return at + 1;
+    at += text[at] == '\\' ? 2 : 1;
   }
 }
 
