Make task entries and partitions in one place

Cause: three calls filled in a task's entry line by line, and two cut a sliced scroll's partition out of a plan. Change: task_entry() and Plan::keep_partition() serve them all; behaviour as before.

--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -61,6 +61,8 @@
   std::vector<Part> parts;
   std::vector<search::Target> targets;
   std::string index_of(int slice) const;
+  // Leaves what one partition of a sliced scroll visits.
+  void keep_partition(std::size_t id, std::size_t max);
 };
 // Throws ApiError.
 Plan make_plan(std::vector<search::Target> targets, const std::string& routing);
--- a/src/front/opensearch/call.h
+++ b/src/front/opensearch/call.h
@@ -28,6 +28,10 @@
 // Writes Raw values out and reads them again, so that all can be looked at.
 json::Value plain(const json::Value& value);
 
+// An entry of the task list for what runs for a call.
+search::TaskBook::Entry task_entry(const Call& call, const char* action, std::string what,
+                                   std::function<void()> cancel = {});
+
 // Tells `inner` when the client leaves, for as long as this lives.
 class Linked {
  public:
--- a/src/front/opensearch/cursor_calls.cpp
+++ b/src/front/opensearch/cursor_calls.cpp
@@ -155,15 +155,7 @@
   request.total_as_number = as_number.value_or(cursor.total_as_number);
   Plan plan = make_plan(targets_of(cursor), cursor.routing);
   add_time_filters(cursor, plan);
-  if (request.partition) {
-    std::vector<Plan::Part> kept;
-    for (const search::PartitionPart& part :
-         search::partition(request.partition->first, request.partition->second, plan.parts.size())) {
-      kept.push_back(plan.parts[part.place]);
-      kept.back().partition = part.part;
-    }
-    plan.parts = std::move(kept);
-  }
+  if (request.partition) plan.keep_partition(request.partition->first, request.partition->second);
   const std::size_t all = plan.parts.size();
   std::vector<int> slices;
   for (const Plan::Part& part : plan.parts) slices.push_back(part.slice);
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -377,14 +377,7 @@
   whole.on_leave = [&callers] {
     for (Caller& each : callers) each.leave();
   };
-  search::TaskBook::Entry entry;
-  entry.action = "indices:data/write/bulk";
-  entry.what = "bulk";
-  entry.team = call.team;
-  entry.opaque = call.opaque;
-  entry.begun = Clock::now();
-  entry.begun_wall = std::chrono::system_clock::now();
-  const search::TaskBook::Running running(tasks_, std::move(entry));
+  const search::TaskBook::Running running(tasks_, task_entry(call, "indices:data/write/bulk", "bulk"));
   search::Fanout::Share share(fanout_, 0);
   std::optional<ApiError> broken;
   bool more = true;
--- a/src/front/opensearch/opensearch_api.cpp
+++ b/src/front/opensearch/opensearch_api.cpp
@@ -79,6 +79,19 @@
   return json::parse(json::write(value), error, {256, 100'000'000}).value_or(json::Value());
 }
 
+search::TaskBook::Entry task_entry(const Call& call, const char* action, std::string what,
+                                   std::function<void()> cancel) {
+  search::TaskBook::Entry entry;
+  entry.action = action;
+  entry.what = std::move(what);
+  entry.team = call.team;
+  entry.opaque = call.opaque;
+  entry.begun = Clock::now();
+  entry.begun_wall = std::chrono::system_clock::now();
+  entry.cancel = std::move(cancel);
+  return entry;
+}
+
 int slice_of(const IndexContract& index, const std::string& routing) {
   std::uint32_t hash = 2166136261u;  // FNV-1a
   for (const char c : routing) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619u;
@@ -92,6 +105,15 @@
   return {};
 }
 
+void Plan::keep_partition(std::size_t id, std::size_t max) {
+  std::vector<Part> kept;
+  for (const search::PartitionPart& part : search::partition(id, max, parts.size())) {
+    kept.push_back(parts[part.place]);
+    kept.back().partition = part.part;
+  }
+  parts = std::move(kept);
+}
+
 Plan make_plan(std::vector<search::Target> targets, const std::string& routing) {
   Plan plan;
   std::map<int, Plan::Part> parts;
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -82,16 +82,7 @@
     cursor->total_as_number = request.total_as_number;
     add_time_filters(*cursor, plan);
   }
-  if (request.partition) {
-    // Whole slices are left out, so that each partition visits its own.
-    std::vector<Plan::Part> kept;
-    for (const search::PartitionPart& part :
-         search::partition(request.partition->first, request.partition->second, plan.parts.size())) {
-      kept.push_back(plan.parts[part.place]);
-      kept.back().partition = part.part;
-    }
-    plan.parts = std::move(kept);
-  }
+  if (request.partition) plan.keep_partition(request.partition->first, request.partition->second);
   // Of a point in time, a client goes on by the keys of the last hit it saw: the last of them is the id, and
   // holds within a slice; where it is there, it is enough for all slices, as ids are their own tie-break.
   std::optional<search::Position> after;
@@ -166,15 +157,10 @@
 
   Caller own;  // ends with the client, or by a cancel
   const Linked linked(caller, own);
-  search::TaskBook::Entry entry;
-  entry.action = "indices:data/read/search";
-  entry.what = "indices[" + what + "], " + std::to_string(plan.parts.size()) + " slices";
-  entry.team = call.team;
-  entry.opaque = call.opaque;
-  entry.begun = Clock::now();
-  entry.begun_wall = std::chrono::system_clock::now();
-  entry.cancel = [&own] { own.leave(); };
-  const search::TaskBook::Running running(tasks_, std::move(entry));
+  const search::TaskBook::Running running(
+      tasks_, task_entry(call, "indices:data/read/search",
+                         "indices[" + what + "], " + std::to_string(plan.parts.size()) + " slices",
+                         [&own] { own.leave(); }));
   found.reply = co_await broker_.serve(std::move(query), own);
   found.took = Clock::now() - call.received;
   if (call.single)
@@ -303,15 +289,9 @@
     for (Caller& each : callers) each.leave();
   };
   if (whole.gone()) whole.on_leave();
-  search::TaskBook::Entry entry;
-  entry.action = "indices:data/read/msearch";
-  entry.what = "requests[" + std::to_string(count) + "]";
-  entry.team = call.team;
-  entry.opaque = call.opaque;
-  entry.begun = Clock::now();
-  entry.begun_wall = std::chrono::system_clock::now();
-  entry.cancel = [&whole] { whole.leave(); };
-  const search::TaskBook::Running running(tasks_, std::move(entry));
+  const search::TaskBook::Running running(
+      tasks_, task_entry(call, "indices:data/read/msearch", "requests[" + std::to_string(count) + "]",
+                         [&whole] { whole.leave(); }));
   {
     search::Fanout::Share share(fanout_, at_once);
     std::size_t next = 0, ended = 0;
