Let one piece hold the callers of a request of many items

Cause: read once more, the multi-search and the multi-get built the same group of callers line by line, and a scroll kept a list that nothing used. Change: Callers (front/opensearch/call.h) serves both; the dead list is gone; behaviour as before.

--- a/src/front/opensearch/call.h
+++ b/src/front/opensearch/call.h
@@ -47,6 +47,25 @@
   Caller& client_;
 };
 
+// The callers of a request of many items: each hears that the client left, or that all were cancelled.
+class Callers {
+ public:
+  Callers(Caller& client, std::size_t count) : each_(count), linked_(client, whole_) {
+    whole_.on_leave = [this] {
+      for (Caller& one : each_) one.leave();
+    };
+    if (whole_.gone()) whole_.on_leave();
+  }
+  Caller& operator[](std::size_t i) { return each_[i]; }
+  bool gone() const { return whole_.gone(); }
+  void leave() { whole_.leave(); }
+
+ private:
+  std::vector<Caller> each_;
+  Caller whole_;
+  const Linked linked_;
+};
+
 }  // namespace opensearch
 
 struct OpenSearchFront::Handler {
--- a/src/front/opensearch/cursor_calls.cpp
+++ b/src/front/opensearch/cursor_calls.cpp
@@ -168,7 +168,6 @@
         parts.push_back(part);
       }
   plan.parts = std::move(parts);
-  const std::vector<int> none;
   // The positions that the parts point to are the cursor's; it moves only once they are answered.
   Found found = co_await execute(request, plan, call, "scroll", caller);
   found.page.total = request.total_as_number
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -301,18 +301,12 @@
   if (specs.size() > limits_.documents)
     illegal("more than " + std::to_string(limits_.documents) + " documents in one multi-get");
 
-  std::vector<Caller> callers(specs.size());
+  Callers callers(caller, specs.size());
   json::Array out(specs.size());
   Mailbox<int> done(scheduler_);
-  Caller whole;
-  const Linked linked(caller, whole);
-  whole.on_leave = [&callers] {
-    for (Caller& each : callers) each.leave();
-  };
-  if (whole.gone()) whole.on_leave();
   search::Fanout::Share share(fanout_, 0);
   for (std::size_t next = 0, ended = 0; ended < specs.size();) {
-    while (next < specs.size() && (share.may_start() || whole.gone())) {
+    while (next < specs.size() && (share.may_start() || callers.gone())) {
       share.started();
       scheduler_.spawn(get_item(specs[next], call, callers[next], out[next], done));
       ++next;
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -280,18 +280,12 @@
   }
 
   // Each has a caller of its own, as all of them have to hear that the client left.
-  std::vector<Caller> callers(count);
+  Callers callers(caller, count);
   std::vector<Answer> outcomes(count);
   Mailbox<int> done(scheduler_);
-  Caller whole;
-  const Linked linked(caller, whole);
-  whole.on_leave = [&callers] {
-    for (Caller& each : callers) each.leave();
-  };
-  if (whole.gone()) whole.on_leave();
   const search::TaskBook::Running running(
       tasks_, task_entry(call, "indices:data/read/msearch", "requests[" + std::to_string(count) + "]",
-                         [&whole] { whole.leave(); }));
+                         [&callers] { callers.leave(); }));
   {
     search::Fanout::Share share(fanout_, at_once);
     std::size_t next = 0, ended = 0;
@@ -303,7 +297,7 @@
     };
     std::vector<std::size_t> out;  // those open, to tell which has ended
     while (ended < count) {
-      while (next < count && (share.may_start() || whole.gone())) {
+      while (next < count && (share.may_start() || callers.gone())) {
         if (const Duration advice = share.hopeless_for(Clock::now()); advice > Duration::zero()) {
           outcomes[next++] =
               answer_error({429, "rejected_execution_exception", "refused: overload", {}, advice});
