Let each search of a multi-search say which one has ended

Cause: every message of an ended search was a bare 1, so the loop kept a list of open ones and went through it each time. Change: the message is the search's place; the list and its mark in the outcomes are gone; behaviour as before.

--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -105,7 +105,7 @@
   Task<Answer> render_template(Call& call, Caller& caller);
   Task<Answer> run_many(Call& call, bool templates, Caller& caller);
   Task<void> search_one(const Call& call, const json::Value& header, std::string body, bool is_template,
-                        Caller& caller, Answer& outcome, Mailbox<int>& done);
+                        Caller& caller, Answer& outcome, std::size_t place, Mailbox<std::size_t>& done);
   Task<Answer> search_body(Call& call, const json::Value& body, Caller& caller);
   struct Found {
     search::Page page;
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -216,8 +216,8 @@
 }
 
 Task<void> OpenSearchFront::search_one(const Call& call, const json::Value& header, std::string body,
-                                       bool is_template, Caller& caller, Answer& outcome,
-                                       Mailbox<int>& done) {
+                                       bool is_template, Caller& caller, Answer& outcome, std::size_t place,
+                                       Mailbox<std::size_t>& done) {
   try {
     Call one{call.http, Clock::now(), call.pattern, call.index, {}, {}, call.team, call.opaque};
     one.single = false;
@@ -250,7 +250,7 @@
   } catch (const ApiError& error) {
     outcome = answer_error(error);
   }
-  done.put(1);
+  done.put(place);
 }
 
 Task<Answer> OpenSearchFront::run_many(Call& call, bool templates, Caller& caller) {
@@ -282,7 +282,7 @@
   // Each has a caller of its own, as all of them have to hear that the client left.
   Callers callers(caller, count);
   std::vector<Answer> outcomes(count);
-  Mailbox<int> done(scheduler_);
+  Mailbox<std::size_t> done(scheduler_);
   const search::TaskBook::Running running(
       tasks_, task_entry(call, "indices:data/read/msearch", "requests[" + std::to_string(count) + "]",
                          [&callers] { callers.leave(); }));
@@ -295,7 +295,6 @@
       else
         share.went_through();
     };
-    std::vector<std::size_t> out;  // those open, to tell which has ended
     while (ended < count) {
       while (next < count && (share.may_start() || callers.gone())) {
         if (const Duration advice = share.hopeless_for(Clock::now()); advice > Duration::zero()) {
@@ -305,10 +304,8 @@
           continue;
         }
         share.started();
-        out.push_back(next);
-        outcomes[next].status = 0;
         scheduler_.spawn(search_one(call, headers[next], std::move(lines[2 * next + 1]), templates,
-                                    callers[next], outcomes[next], done));
+                                    callers[next], outcomes[next], next, done));
         ++next;
       }
       if (ended >= count) break;
@@ -317,11 +314,7 @@
       if (!got) continue;
       share.ended();
       ++ended;
-      std::erase_if(out, [&](std::size_t i) {
-        if (outcomes[i].status == 0) return false;
-        note(outcomes[i]);
-        return true;
-      });
+      note(outcomes[*got]);
     }
   }
   if (running.cancelled())
