Serve on the listening socket the platform hands down as descriptor 4

Change: $GW_PASSED_SOCKET names a descriptor that the client front adopts (Listener from an inherited descriptor: checked to listen, made non-blocking and close-on-exec); without it `listen` is bound as before. A descriptor that is not a listening socket stops the start with one line.

Tests: two programs serve on one handed-down socket; a descriptor that does not listen stops the start.

--- a/include/kelpdeal/config.h
+++ b/include/kelpdeal/config.h
@@ -35,6 +35,11 @@
 
 struct Config {
   std::string name, listen, discovery;
+  // The operators' door (`admin_addr`, $GW_ADMIN_ADDR): empty if there is none.
+  std::string admin;
+  // The listening socket the platform hands down ($GW_PASSED_SOCKET, descriptor 4 at upgrades); -1 if none:
+  // then `listen` is bound.
+  int passed_socket = -1;
   std::uint64_t seed = 0;
   cottonbay::Settings settings;
   NodeList known;
--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -46,6 +46,9 @@
  public:
   HttpServer(Scheduler& scheduler, Address listen, const Limits& limits, Metrics& metrics,
              HttpHandler& handler);
+  // On a socket that already listens (the platform's descriptor 4 at an upgrade).
+  HttpServer(Scheduler& scheduler, Descriptor inherited, const Limits& limits, Metrics& metrics,
+             HttpHandler& handler);
   Address address() const { return listener_.address(); }
 
   // A planned stop: serves on for a while, then closes the listener and what is idle. drained() tells when
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -74,6 +74,9 @@
  public:
   // Throws std::system_error if the address cannot be had.
   Listener(Scheduler& scheduler, Address address, int backlog);
+  // Takes over a socket that already listens, as one handed down by the platform (descriptor 4 at an
+  // upgrade). Throws std::system_error if it is not a listening TCP socket.
+  Listener(Scheduler& scheduler, Descriptor inherited);
   ~Listener() override;
   // Null once closed.
   Task<std::unique_ptr<Stream>> accept();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -127,6 +127,7 @@
   config.name = f.text("name", "");
   config.listen = f.text("listen", "");
   config.discovery = f.text("discovery", "");
+  config.admin = f.text("admin_addr", "");
   config.seed = parse_seed(f.text("seed", "0"));
   const json::Value* settings = f.find("settings");
   if (!settings) fail("settings", "is missing");
@@ -185,6 +186,14 @@
   prefer("GW_LISTEN", config.listen);
   // The file may have been replaced since the environment was made, as at a reload: here it counts first.
   if (config.discovery.empty()) prefer("GW_DISCOVERY", config.discovery);
+  if (std::string value = variable("GW_ADMIN_ADDR"); !value.empty()) config.admin = std::move(value);
+  if (const std::string passed = variable("GW_PASSED_SOCKET"); !passed.empty()) {
+    int fd = -1;
+    const auto got = std::from_chars(passed.data(), passed.data() + passed.size(), fd);
+    if (got.ec != std::errc() || got.ptr != passed.data() + passed.size() || fd < 0)
+      throw ConfigError("GW_PASSED_SOCKET: is not a descriptor number: " + passed);
+    config.passed_socket = fd;
+  }
   return config;
 }
 
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -16,6 +16,17 @@
   scheduler_.spawn(accept_all());
 }
 
+HttpServer::HttpServer(Scheduler& scheduler, Descriptor inherited, const Limits& limits, Metrics& metrics,
+                       HttpHandler& handler)
+    : scheduler_(scheduler),
+      limits_(limits),
+      metrics_(metrics),
+      handler_(handler),
+      listener_(scheduler, std::move(inherited)),
+      chunk_(limits.read_chunk) {
+  scheduler_.spawn(accept_all());
+}
+
 Task<void> HttpServer::accept_all() {
   while (auto stream = co_await listener_.accept()) {
     metrics_.count("clients.connections");
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,7 +67,10 @@
         discovery(scheduler, needed_address(config.discovery, "discovery"), limits, metrics, config.seed,
                   broker),
         front(broker, config.limits, metrics),
-        server(scheduler, needed_address(config.listen, "listen"), config.limits, metrics, front) {
+        server(config.passed_socket >= 0
+                   ? HttpServer(scheduler, Descriptor(config.passed_socket), config.limits, metrics, front)
+                   : HttpServer(scheduler, needed_address(config.listen, "listen"), config.limits, metrics,
+                                front)) {
     discovery.start_from(config.known.version);
     broker.start(*transport, discovery, config.known);
     if (contract) {
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -2,6 +2,7 @@
 #include "kelpdeal/socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -165,6 +166,22 @@
   scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
 }
 
+Listener::Listener(Scheduler& scheduler, Descriptor inherited)
+    : scheduler_(scheduler), descriptor_(std::move(inherited)), parker_(scheduler) {
+  int listening = 0;
+  socklen_t size = sizeof listening;
+  if (::getsockopt(descriptor_.get(), SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0)
+    raise("passed socket " + std::to_string(descriptor_.get()));
+  if (listening == 0) {
+    errno = EINVAL;
+    raise("passed socket " + std::to_string(descriptor_.get()) + " does not listen");
+  }
+  const int flags = ::fcntl(descriptor_.get(), F_GETFL);
+  ::fcntl(descriptor_.get(), F_SETFL, flags | O_NONBLOCK);
+  ::fcntl(descriptor_.get(), F_SETFD, FD_CLOEXEC);
+  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
+}
+
 Listener::~Listener() { close(); }
 
 void Listener::ready(std::uint32_t) { parker_.wake(); }
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -20,13 +20,15 @@
 // A process of the program, ended by its id when this goes away.
 class Program {
  public:
+  // `extra` adds to its environment; `passed`, if not -1, becomes its descriptor 4.
   Program(World& world, const std::string& config, const std::string& listen,
-          std::vector<std::string> arguments = {}) {
+          std::vector<std::string> arguments = {}, std::vector<std::string> extra = {}, int passed = -1) {
     path_ = testing::TempDir() + "kelpdeal-" + std::to_string(::getpid()) + ".json";
     std::ofstream(path_) << config;
     std::vector<std::string> environment = {"GW_NAME=n0", "GW_LISTEN=" + listen,
                                             "GW_DISCOVERY=" + world.discovery->address(),
                                             "GW_CONFIG=" + path_};
+    environment.insert(environment.end(), extra.begin(), extra.end());
     for (char** entry = environ; *entry; ++entry)
       if (!std::string_view(*entry).starts_with("GW_")) environment.push_back(*entry);
     arguments.insert(arguments.begin(), KELPDEAL_PROGRAM);
@@ -35,6 +37,7 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipe[1], 2);
+    if (passed >= 0) posix_spawn_file_actions_adddup2(&actions, passed, 4);
     std::vector<char*> argv, envp;
     for (std::string& argument : arguments) argv.push_back(argument.data());
     for (std::string& entry : environment) envp.push_back(entry.data());
@@ -118,6 +121,53 @@
   EXPECT_TRUE(program.line().starts_with("attempts.ok "));
 }
 
+// A listening socket of the test's, as the platform holds one at an upgrade.
+Descriptor listening_socket() {
+  Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+  EXPECT_EQ(::listen(socket.get(), 64), 0);
+  return socket;
+}
+
+std::string local_address(int fd) {
+  Address address;
+  socklen_t size = sizeof address.raw;
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address.raw), &size);
+  return address.text();
+}
+
+// At an upgrade the platform holds the clients' socket and hands it down as descriptor 4: two processes serve on
+// it, where binding the address would fail.
+TEST(TheProgram, ServesOnTheSocketThePlatformHandsDown) {
+  World world({});
+  const Descriptor socket = listening_socket();
+  const std::string address = local_address(socket.get());
+  Program first(world, world.config_text(), address, {}, {"GW_PASSED_SOCKET=4"}, socket.get());
+  EXPECT_EQ(first.address(), address);
+  Program second(world, world.config_text(), address, {}, {"GW_PASSED_SOCKET=4"}, socket.get());
+  EXPECT_EQ(second.address(), address);
+  world.run([&]() -> Task<void> {
+    for (int i = 0; i < 4; ++i) {
+      const http::Response response =
+          co_await world.send(address, world.request("equipment-search", "0,1", 1s, ""));
+      EXPECT_EQ(response.status, 200);
+    }
+  }());
+  EXPECT_TRUE(first.running());
+  EXPECT_TRUE(second.running());
+}
+
+TEST(TheProgram, ADescriptorThatDoesNotListenStopsTheStart) {
+  World world({});
+  Program program(world, world.config_text(), "127.0.0.1:0", {}, {"GW_PASSED_SOCKET=4"}, 2);
+  const std::string line = program.line();
+  EXPECT_TRUE(line.starts_with("kelpdeal: passed socket 4")) << line;
+  EXPECT_NE(program.wait(), 0);
+}
+
 TEST(TheProgram, FinishesWhatItTookWhenToldToStop) {
   World world({});
   for (auto& node : world.nodes)
