Add the operators' door: HEALTH, nodes out by hand, LEAVE and JOIN

Change: a package `operations` without I/O: the call parser (table-tested, bounded line reader for calls in pieces) and `Door`, which decides each call's answer, holds the set of nodes out by hand (an id never listed is owed a no; calls out repeat; one call back ends the ban), the leave state and the hand-over text. The broker's driver shows a node out by hand to the module as draining whatever the list says, so nothing new goes to it. The gateway writes the set to $TMPDIR/kelpdeal-NAME.out and looks at it every 200 ms, so a ban holds across an upgrade. LEAVE makes /-/ready 503 and, 1 s later, closes idle kept connections and every connection after its answer; JOIN undoes it. The door's line server bounds callers (64, the oldest goes) and closes silent or half callers after 3 s; a whole line is answered at once. All of it exists only with `admin_addr` set.

--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -168,6 +168,10 @@
   std::size_t open() const { return open_; }
   // The nodes listed now, those that drain included.
   std::vector<NodeEntry> nodes() const;
+  // Data nodes out by hand (by uid): nothing new goes to them, whatever the list says, until they leave the
+  // set. known() tells whether discovery or the configuration has listed a node of that uid.
+  void hold_out(const std::set<std::string, std::less<>>& out);
+  bool known(std::string_view uid) const;
   // A front tells how long it took to put an answer together and out.
   void answer_out(const Reply& reply) { margin_.observe(Clock::now() - reply.decided); }
   // Whatever comes from now on has its reply by then.
--- a/include/kelpdeal/config.h
+++ b/include/kelpdeal/config.h
@@ -40,6 +40,9 @@
   // The listening socket the platform hands down ($GW_PASSED_SOCKET, descriptor 4 at upgrades); -1 if none:
   // then `listen` is bound.
   int passed_socket = -1;
+  // Where the nodes out by hand are kept for the other process of an upgrade: in $TMPDIR, by the
+  // coordinator's name; only with an operators' door.
+  std::string handover;
   std::uint64_t seed = 0;
   cottonbay::Settings settings;
   NodeList known;
--- a/include/kelpdeal/gateway.h
+++ b/include/kelpdeal/gateway.h
@@ -29,6 +29,8 @@
   // Where it listens; the second is empty without the OpenSearch-style front.
   std::string address() const;
   std::string search_address() const;
+  // The operators' door; empty without `admin_addr`.
+  std::string admin_address() const;
 
  private:
   struct Parts;
--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -54,6 +54,10 @@
   // A planned stop: serves on for a while, then closes the listener and what is idle. drained() tells when
   // nothing is left.
   void drain();
+  // Sends clients away without stopping (the operators' LEAVE): from `close_from` on, every answer closes its
+  // connection and idle ones close; the listener stays. join() takes them again as before.
+  void leave(TimePoint close_from);
+  void join();
   bool drained() const { return draining_ && connections_.empty() && (!accepting_ || parting_); }
 
  private:
@@ -91,9 +95,10 @@
   Listener listener_;
   std::list<Connection> connections_;
   std::vector<char> chunk_;  // what is read goes through here at once; no connection keeps one
-  Timer drain_timer_, parting_timer_;
+  Timer drain_timer_, parting_timer_, leave_timer_;
   // Of a planned stop: begun; over once no connection is left; nothing is kept open any more.
   bool draining_ = false, parting_ = false, closing_ = false, accepting_ = true;
+  void close_idle();
 };
 
 }  // namespace kelpdeal
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -87,6 +87,18 @@
   Duration drain_end = Milliseconds(3'600);    // settings: the longest deadline, 3 s at most, and 0.6 s
   Duration drain_most = Milliseconds(10'000);
 
+  // The operators' door: callers at once (beyond, the oldest goes), a call's line, and how long a caller has
+  // to finish its line and to take the answer. After LEAVE, kept client connections close from `leave_close`
+  // on.
+  std::size_t admin_callers = 64;
+  std::size_t admin_line = 512;
+  Duration admin_read = Milliseconds(3'000);
+  Duration admin_write = Milliseconds(1'000);
+  Duration leave_close = Milliseconds(1'000);
+  // How often the hand-over of nodes out by hand is looked at, for what the other process of an upgrade was
+  // told.
+  Duration handover_every = Milliseconds(200);
+
   // Log: of one kind of line, at most one in so long; the others are counted.
   Duration log_every = Milliseconds(1'000);
 };
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -118,6 +118,10 @@
   driver_->listed(list, list.complete ? cottonbay::ListKind::complete : cottonbay::ListKind::changes);
 }
 std::vector<NodeEntry> Broker::nodes() const { return driver_->nodes(); }
+
+void Broker::hold_out(const std::set<std::string, std::less<>>& out) { driver_->hold_out(out); }
+
+bool Broker::known(std::string_view uid) const { return driver_->known(uid); }
 void Broker::list_failed() { driver_->list_failed(); }
 
 Task<Reply> Broker::serve(QueryRequest request, Caller& caller) {
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -142,15 +142,7 @@
       unlist(record);
     else
       record.left = kNever;
-    cottonbay::ServerEntry entry;
-    entry.id = id;
-    entry.started_ms = to_ms(node.started);
-    entry.zone = node.zone;
-    entry.kind = node.kind;
-    entry.weight = node.weight;
-    entry.state = node.state;
-    entry.cell = node.cell;
-    e.servers.push_back(std::move(entry));
+    e.servers.push_back(entry_of(record));
     if (transport_) transport_->listed(id, node);
   }
   // Guards against a coordinator that grows with every node there ever was. One that left is remembered for a
@@ -163,6 +155,33 @@
   tell(std::move(e));
 }
 
+cottonbay::ServerEntry Driver::entry_of(const NodeRecord& record) const {
+  const NodeEntry& node = record.entry;
+  cottonbay::ServerEntry entry;
+  entry.id = record.id;
+  entry.started_ms = to_ms(node.started);
+  entry.zone = node.zone;
+  entry.kind = node.kind;
+  entry.weight = node.weight;
+  entry.state = node.state;
+  if (entry.state == cottonbay::ServerState::serving && out_.count(node.uid) > 0)
+    entry.state = cottonbay::ServerState::draining;
+  entry.cell = node.cell;
+  return entry;
+}
+
+void Driver::hold_out(const std::set<std::string, std::less<>>& out) {
+  std::vector<const NodeRecord*> changed;
+  for (const auto& [uid, record] : nodes_)
+    if ((out_.count(uid) > 0) != (out.count(uid) > 0) && record.left == kNever) changed.push_back(&record);
+  out_ = out;
+  if (changed.empty()) return;
+  cottonbay::ServersListed e;
+  e.kind = cottonbay::ListKind::changes;
+  for (const NodeRecord* record : changed) e.servers.push_back(entry_of(*record));
+  tell(std::move(e));
+}
+
 std::vector<NodeEntry> Driver::nodes() const {
   std::vector<NodeEntry> listed;
   for (const auto& [uid, record] : nodes_)
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <deque>
+#include <set>
 #include <unordered_map>
 #include <variant>
 
@@ -59,6 +60,9 @@
   void listed(const NodeList& list, cottonbay::ListKind kind);
   void list_failed();
   std::vector<NodeEntry> nodes() const;
+  // Nodes out by hand: whatever the list says, the module sees them draining until they are back.
+  void hold_out(const std::set<std::string, std::less<>>& out);
+  bool known(std::string_view uid) const { return nodes_.find(std::string(uid)) != nodes_.end(); }
 
  private:
   struct QueryRecord {
@@ -129,7 +133,10 @@
     TimePoint left = kNever;  // the list
     NodeEntry entry;
   };
+  // As the module is to see it: a node out by hand drains.
+  cottonbay::ServerEntry entry_of(const NodeRecord& record) const;
   std::unordered_map<std::string, NodeRecord> nodes_;  // by uid
+  std::set<std::string, std::less<>> out_;             // by hand
   std::unordered_map<RequestId, QueryRecord> queries_;
   std::vector<RequestId> leaving_;  // their lives are over; kept until the module has had a turn
   std::unordered_map<RequestId, PartRecord> parts_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -187,6 +187,11 @@
   // The file may have been replaced since the environment was made, as at a reload: here it counts first.
   if (config.discovery.empty()) prefer("GW_DISCOVERY", config.discovery);
   if (std::string value = variable("GW_ADMIN_ADDR"); !value.empty()) config.admin = std::move(value);
+  if (!config.admin.empty()) {
+    std::string dir = variable("TMPDIR");
+    if (dir.empty()) dir = "/tmp";
+    config.handover = dir + "/kelpdeal-" + config.name + ".out";
+  }
   if (const std::string passed = variable("GW_PASSED_SOCKET"); !passed.empty()) {
     int fd = -1;
     const auto got = std::from_chars(passed.data(), passed.data() + passed.size(), fd);
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -100,11 +100,27 @@
   drain_timer_ = scheduler_.in(limits_.drain_serve, [this] {
     closing_ = true;
     listener_.close();
-    for (Connection& connection : connections_)
-      if (connection.between() && !connection.stream->has_input()) connection.stream->cancel();
+    close_idle();
   });
 }
 
+void HttpServer::close_idle() {
+  for (Connection& connection : connections_)
+    if (connection.between() && !connection.stream->has_input()) connection.stream->cancel();
+}
+
+void HttpServer::leave(TimePoint close_from) {
+  leave_timer_ = scheduler_.at(close_from, [this] {
+    closing_ = true;
+    close_idle();
+  });
+}
+
+void HttpServer::join() {
+  leave_timer_.cancel();
+  if (!draining_) closing_ = false;
+}
+
 Task<void> HttpServer::converse(Place place) {
   try {
     while (co_await exchange(*place)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,12 +7,16 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include <fstream>
+
+#include "kelpdeal/admin_server.h"
 #include "kelpdeal/broker.h"
 #include "kelpdeal/discovery.h"
 #include "kelpdeal/frame_transport.h"
 #include "kelpdeal/http_server.h"
 #include "kelpdeal/opensearch_front.h"
 #include "kelpdeal/opensearch_transport.h"
+#include "kelpdeal/operations/door.h"
 #include "kelpdeal/platform_front.h"
 
 namespace kelpdeal {
@@ -70,14 +74,79 @@
         server(config.passed_socket >= 0
                    ? HttpServer(scheduler, Descriptor(config.passed_socket), config.limits, metrics, front)
                    : HttpServer(scheduler, needed_address(config.listen, "listen"), config.limits, metrics,
-                                front)) {
+                                front)),
+        handover(config.handover) {
     discovery.start_from(config.known.version);
+    if (!handover.empty()) take_handover();
     broker.start(*transport, discovery, config.known);
     if (contract) {
       search_front.emplace(scheduler, broker, *contract, config.limits, config.seed, metrics);
       search_server.emplace(scheduler, needed_address(contract->listen, "front file: listen"), config.limits,
                             metrics, *search_front);
     }
+    if (!config.admin.empty())
+      admin.emplace(scheduler, needed_address(config.admin, "admin_addr"), limits, metrics,
+                    [this](std::string_view line) { return call(line); });
+  }
+
+  // One call at the operators' door, and its answer line.
+  std::string call(std::string_view line) {
+    std::string problem;
+    const auto command = operations::parse_command(line, problem);
+    if (!command) {
+      metrics.count("admin.bad");
+      metrics.log("admin", "a call that cannot be read: " + problem);
+      return operations::failure(problem);
+    }
+    operations::Facts facts;
+    facts.started = true;
+    facts.stopping = stopping;
+    facts.listed = !command->node.empty() && broker.known(command->node);
+    const operations::Verdict verdict = door.decide(*command, facts, Clock::now());
+    metrics.count(verdict.success ? "admin.success" : "admin.failure");
+    if (verdict.bans_changed) {
+      broker.hold_out(door.out());
+      save_handover();
+      metrics.log("hand", verdict.text + "; out by hand: " + std::to_string(door.out().size()));
+    }
+    if (verdict.presence_changed) {
+      metrics.log("leave", door.leaving() ? "LEAVE: clients are sent away" : "JOIN: clients are taken again");
+      front.set_ready(!door.leaving());
+      for (HttpServer* each : {&server, search_server ? &*search_server : nullptr}) {
+        if (!each) continue;
+        if (door.leaving())
+          each->leave(door.close_from());
+        else
+          each->join();
+      }
+    }
+    return verdict.line();
+  }
+
+  // What the other process of an upgrade has said of nodes out by hand, also before this one started.
+  void take_handover() {
+    std::ifstream in(handover, std::ios::binary);
+    std::string text;
+    if (in) text.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+    if (in && text != handover_seen && door.restore(text)) {
+      handover_seen = text;
+      broker.hold_out(door.out());
+      metrics.log("hand", "taken over: out by hand: " + std::to_string(door.out().size()));
+    }
+    handover_timer = scheduler.in(limits.handover_every, [this] { take_handover(); });
+  }
+
+  void save_handover() {
+    const std::string text = door.saved();
+    const std::string temporary = handover + ".new";
+    {
+      std::ofstream out(temporary, std::ios::binary | std::ios::trunc);
+      out << text;
+      if (!out) return metrics.log("hand", "cannot write " + temporary);
+    }
+    if (std::rename(temporary.c_str(), handover.c_str()) != 0)
+      return metrics.log("hand", "cannot replace " + handover);
+    handover_seen = text;
   }
 
   std::unique_ptr<NodeTransport> make_transport(const std::optional<FrontContract>& contract) {
@@ -102,7 +171,12 @@
   HttpServer server;
   std::optional<OpenSearchFront> search_front;
   std::optional<HttpServer> search_server;
-  Timer drain_timer, finish_timer;
+  operations::Door door{operations::DoorLimits{4'096, limits.leave_close}};
+  const std::string handover;
+  std::string handover_seen;
+  bool stopping = false;
+  std::optional<AdminServer> admin;
+  Timer drain_timer, finish_timer, handover_timer;
 };
 
 Gateway::Gateway(Scheduler& scheduler, const Config& config, const std::optional<FrontContract>& contract)
@@ -125,6 +199,10 @@
 
 std::string Gateway::address() const { return parts_->server.address().text(); }
 
+std::string Gateway::admin_address() const {
+  return parts_->admin ? parts_->admin->address().text() : std::string();
+}
+
 std::string Gateway::search_address() const {
   return parts_->search_server ? parts_->search_server->address().text() : std::string();
 }
@@ -133,6 +211,7 @@
 
 void Gateway::drain() {
   parts_->metrics.log("drain", "SIGTERM: finishing what was taken");
+  parts_->stopping = true;
   parts_->front.unready();
   parts_->server.drain();
   if (parts_->search_server) parts_->search_server->drain();
@@ -191,6 +270,8 @@
     gateway = std::make_unique<Gateway>(*scheduler, config, contract);
     std::fprintf(stderr, "kelpdeal start: %s serves on %s\n", name.c_str(), gateway->address().c_str());
     if (contract) std::fprintf(stderr, "kelpdeal start: searches on %s\n", gateway->search_address().c_str());
+    if (!config.admin.empty())
+      std::fprintf(stderr, "kelpdeal start: operators' door on %s\n", gateway->admin_address().c_str());
     scheduler->run();
     std::fprintf(stderr, "%skelpdeal stop: %s ends\n", gateway->metrics().text().c_str(), name.c_str());
     return 0;
--- /dev/null
+++ b/src/operations/command.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+#include "kelpdeal/operations/command.h"
+
+#include <algorithm>
+#include <cctype>
+#include <vector>
+
+namespace kelpdeal::operations {
+namespace {
+
+std::vector<std::string_view> words_of(std::string_view line) {
+  std::vector<std::string_view> words;
+  std::size_t at = 0;
+  while (at < line.size()) {
+    while (at < line.size() && (line[at] == ' ' || line[at] == '\t')) ++at;
+    const std::size_t begin = at;
+    while (at < line.size() && line[at] != ' ' && line[at] != '\t') ++at;
+    if (at > begin) words.push_back(line.substr(begin, at - begin));
+  }
+  return words;
+}
+
+std::string upper(std::string_view word) {
+  std::string text(word);
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::toupper(c)); });
+  return text;
+}
+
+bool printable(std::string_view word) {
+  return std::all_of(word.begin(), word.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+}
+
+}  // namespace
+
+std::optional<Command> parse_command(std::string_view line, std::string& problem) {
+  const std::vector<std::string_view> words = words_of(line);
+  if (words.empty()) {
+    problem = "empty call";
+    return std::nullopt;
+  }
+  const std::string name = upper(words[0]);
+  Command command;
+  std::size_t wanted = 1;
+  if (name == "HEALTH") {
+    command.kind = Command::Kind::health;
+  } else if (name == "LEAVE") {
+    command.kind = Command::Kind::leave;
+  } else if (name == "JOIN") {
+    command.kind = Command::Kind::join;
+  } else if (name == "OFFLINE" || name == "ONLINE") {
+    command.kind = name == "OFFLINE" ? Command::Kind::offline : Command::Kind::online;
+    wanted = 2;
+  } else {
+    problem = "unknown call";
+    return std::nullopt;
+  }
+  if (words.size() != wanted) {
+    problem = wanted == 2 ? "wants one data node id" : "takes no argument";
+    return std::nullopt;
+  }
+  if (wanted == 2) {
+    if (!printable(words[1])) {
+      problem = "the id is not printable";
+      return std::nullopt;
+    }
+    command.node = std::string(words[1]);
+  }
+  return command;
+}
+
+LineReader::State LineReader::feed(std::string_view piece) {
+  if (state_ != State::more) return state_;
+  const std::size_t end = piece.find('\n');
+  line_.append(piece.substr(0, std::min(end, piece.size())));
+  if (line_.size() > most_) return state_ = State::too_long;
+  if (end == std::string_view::npos) return state_;
+  if (line_.ends_with('\r')) line_.pop_back();
+  return state_ = State::done;
+}
+
+std::string success(std::string_view text) {
+  return text.empty() ? "SUCCESS\n" : "SUCCESS " + std::string(text) + "\n";
+}
+std::string failure(std::string_view text) {
+  return text.empty() ? "FAILURE\n" : "FAILURE " + std::string(text) + "\n";
+}
+
+}  // namespace kelpdeal::operations
