--- a/include/kelpdeal/operations/door.h
+++ b/include/kelpdeal/operations/door.h
@@ -14,22 +14,22 @@
 namespace kelpdeal::operations {
 
 struct DoorLimits {
-  std::size_t most_out = 4'096;    // data nodes out by hand at once; beyond, a call out is refused
+  std::size_t most_out = 4'096;  // data nodes out by hand at once; beyond, a call out is refused
   Duration close_after = Milliseconds(1'000);  // after LEAVE, kept connections close from here on
 };
 
 // What the gateway knows when a call comes.
 struct Facts {
-  bool started = false;    // serving on its addresses
-  bool stopping = false;   // told to stop (SIGTERM)
-  bool listed = false;     // of OFFLINE and ONLINE: the node was listed by discovery or the configuration
+  bool started = false;   // serving on its addresses
+  bool stopping = false;  // told to stop (SIGTERM)
+  bool listed = false;    // of OFFLINE and ONLINE: the node was listed by discovery or the configuration
 };
 
 // One call's outcome: the answer line, and what changed.
 struct Verdict {
   bool success = false;
-  std::string text;          // after SUCCESS or FAILURE
-  bool bans_changed = false; // the set of nodes out by hand is new: re-list the node, save the hand-over
+  std::string text;           // after SUCCESS or FAILURE
+  bool bans_changed = false;  // the set of nodes out by hand is new: re-list the node, save the hand-over
   bool presence_changed = false;
   std::string line() const { return success ? operations::success(text) : operations::failure(text); }
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -6,7 +6,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-
 #include <fstream>
 
 #include "kelpdeal/admin_server.h"
--- a/src/operations/door.cpp
+++ b/src/operations/door.cpp
@@ -16,7 +16,10 @@
   switch (command.kind) {
     case Kind::health:
       verdict.success = ready(facts);
-      verdict.text = verdict.success ? "ready" : facts.stopping ? "stopping" : leaving_ ? "leaving" : "starting";
+      verdict.text = verdict.success  ? "ready"
+                     : facts.stopping ? "stopping"
+                     : leaving_       ? "leaving"
+                                      : "starting";
       break;
     case Kind::offline:
       // Guards against a ban nobody can take back: an id never listed is owed a no.
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -65,9 +65,11 @@
     if (text.ends_with('\n')) text.pop_back();
     return text;
   }
-  // The address that a start line names.
+  // The address that the next start line names; other lines before it are passed over.
   std::string address() {
-    const std::string text = line();
+    std::string text = line();
+    while (!text.empty() && !text.starts_with("kelpdeal start: ") && !text.starts_with("kelpdeal: "))
+      text = line();
     return text.substr(text.rfind(' ') + 1);
   }
   std::string rest() {
@@ -139,8 +141,8 @@
   return address.text();
 }
 
-// At an upgrade the platform holds the clients' socket and hands it down as descriptor 4: two processes serve on
-// it, where binding the address would fail.
+// At an upgrade the platform holds the clients' socket and hands it down as descriptor 4: two processes serve
+// on it, where binding the address would fail.
 TEST(TheProgram, ServesOnTheSocketThePlatformHandsDown) {
   World world({});
   const Descriptor socket = listening_socket();
@@ -168,6 +170,119 @@
   EXPECT_NE(program.wait(), 0);
 }
 
+// One call at the operators' door: its answer line, empty if none came within `within`.
+Task<std::string> door_call(World& world, const std::string& door, std::string line, Duration within = 1s) {
+  const auto stream = co_await connect(world.scheduler, *Address::parse(door), Clock::now() + within);
+  if (!stream) co_return std::string();
+  co_await stream->write_all(line);
+  std::string answer;
+  std::vector<char> chunk(256);
+  const TimePoint until = Clock::now() + within;
+  while (!answer.ends_with('\n')) {
+    const IoResult got = co_await stream->read_some(chunk, until);
+    if (got.io != Io::ok) break;
+    answer.append(chunk.data(), got.bytes);
+  }
+  co_return answer;
+}
+
+std::vector<std::string> door_environment(const std::string& tmp) {
+  return {"GW_ADMIN_ADDR=127.0.0.1:0", "TMPDIR=" + tmp};
+}
+
+// Nodes out by hand get nothing new, whatever the list says, until their call back; an id never listed is
+// owed a no; a ban holds for the next process of an upgrade.
+TEST(TheProgram, TakesDataNodesOutByHandAtTheOperatorsDoor) {
+  World world({});
+  // n1 is the fastest, and so the one the module prefers wherever it may be asked.
+  for (int i : {0, 2})
+    world.nodes[i]->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 20ms}; };
+  const std::string tmp = testing::TempDir();
+  std::remove((tmp + "/kelpdeal-n0.out").c_str());
+  Program program(world, world.config_text(), "127.0.0.1:0", {}, door_environment(tmp));
+  const std::string address = program.address();
+  const std::string door = program.address();
+  std::size_t before = 0;  // parts that n1 had seen when it was taken out
+  world.run([&]() -> Task<void> {
+    EXPECT_EQ(co_await door_call(world, door, "HEALTH\n"), "SUCCESS ready\n");
+    for (int i = 0; i < 12; ++i)
+      co_await world.send(address, world.request("equipment-search", "0,1,2", 1s, ""));
+    before = world.nodes[1]->seen.size();
+    EXPECT_EQ(co_await door_call(world, door, "OFFLINE ghost\n"), "FAILURE unknown data node ghost\n");
+    EXPECT_EQ(co_await door_call(world, door, "OFFLINE n1\n"), "SUCCESS out n1\n");
+    EXPECT_EQ(co_await door_call(world, door, "OFFLINE n1\n"), "SUCCESS already out n1\n");
+    // Slices 0, 1 and 2 are held by n0 and n1, n1 and n2, n2 and n0: all of them can do without n1.
+    for (int i = 0; i < 12; ++i) {
+      const http::Response response =
+          co_await world.send(address, world.request("equipment-search", "0,1,2", 1s, ""));
+      EXPECT_EQ(response.status, 200);
+    }
+    EXPECT_EQ(world.nodes[1]->seen.size(), before);
+    EXPECT_GT(world.nodes[0]->seen.size() + world.nodes[2]->seen.size(), 0u);
+  }());
+  program.signal(SIGTERM);
+  EXPECT_EQ(program.wait(), 0);
+
+  // The next process takes the ban over from $TMPDIR, and one call back ends it.
+  Program next(world, world.config_text(), "127.0.0.1:0", {}, door_environment(tmp));
+  const std::string address2 = next.address();
+  const std::string door2 = next.address();
+  // This process has never heard n1: the module takes it for as fast as the mean of those it has heard.
+  world.nodes[2]->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 100ms}; };
+  world.run([&]() -> Task<void> {
+    for (int i = 0; i < 6; ++i)
+      co_await world.send(address2, world.request("equipment-search", "0,1,2", 1s, ""));
+    EXPECT_EQ(world.nodes[1]->seen.size(), before);
+    EXPECT_EQ(co_await door_call(world, door2, "ONLINE n1\n"), "SUCCESS back n1\n");
+    // Back, it is used again at once.
+    const TimePoint back = Clock::now();
+    while (world.nodes[1]->seen.size() == before && Clock::now() - back < 2s) {
+      co_await world.send(address2, world.request("equipment-search", "1", 1s, ""));
+      co_await world.pause(20ms);
+    }
+    EXPECT_GT(world.nodes[1]->seen.size(), before);
+  }());
+  std::remove((tmp + "/kelpdeal-n0.out").c_str());
+}
+
+// LEAVE: not ready, kept connections close after their answers; JOIN: ready again. Silent and half callers
+// at the door do not hold up the answers of others.
+TEST(TheProgram, SendsClientsAwayAndTakesThemAgainAtTheOperatorsDoor) {
+  World world({});
+  for (auto& node : world.nodes)
+    node->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 200ms}; };
+  Program program(world, world.config_text(), "127.0.0.1:0", {}, door_environment(testing::TempDir()));
+  const std::string address = program.address();
+  const std::string door = program.address();
+  world.run([&]() -> Task<void> {
+    std::vector<std::unique_ptr<Stream>> idle;
+    for (int i = 0; i < 8; ++i) {
+      idle.push_back(co_await connect(world.scheduler, *Address::parse(door), Clock::now() + 1s));
+      if (i % 2 == 0) co_await idle.back()->write_all("OFFL");
+    }
+    const TimePoint asked = Clock::now();
+    EXPECT_EQ(co_await door_call(world, door, "LEAVE\n"), "SUCCESS leaving\n");
+    EXPECT_LT(Clock::now() - asked, 200ms);
+    EXPECT_EQ((co_await world.send(address, get("/-/ready"))).status, 503);
+    EXPECT_EQ(co_await door_call(world, door, "HEALTH\n"), "FAILURE leaving\n");
+    // A kept connection is still served, and closed after its answer once the second is over.
+    const auto kept = co_await connect(world.scheduler, *Address::parse(address), Clock::now() + 1s);
+    std::vector<char> chunk(4096);
+    co_await world.pause(900ms);
+    co_await kept->write_all(http::write(world.request("equipment-search", "0", 1s, "")));
+    const IoResult got = co_await kept->read_some(chunk, Clock::now() + 2s);
+    const std::string answer(chunk.data(), got.bytes);
+    EXPECT_GT(Clock::now() - asked, 1s);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_EQ(co_await door_call(world, door, "JOIN\n"), "SUCCESS joined\n");
+    EXPECT_EQ((co_await world.send(address, get("/-/ready"))).status, 200);
+    EXPECT_EQ(co_await door_call(world, door, "HEALTH\n"), "SUCCESS ready\n");
+    EXPECT_EQ(co_await door_call(world, door, "DANCE\n"), "FAILURE unknown call\n");
+  }());
+  EXPECT_TRUE(program.running());
+}
+
 TEST(TheProgram, FinishesWhatItTookWhenToldToStop) {
   World world({});
   for (auto& node : world.nodes)
