Name the module's reason in each refusal's log line

The logs showed bursts of "unanswered: refused: equipment-search, step 1, 0 of 3 parts in, 877 ms left" on the coordinator that kept the clients while the other was sent away, with no reason to tell load from holders.

Change: the refusal line reads "refused (WHY)", WHY being the module's reason as the counters already had it (load, share, holders, late, given_up).

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -222,7 +222,7 @@
 
     } else if (const auto* refuse = std::get_if<RefuseChosen>(&*choice)) {
       metrics_.count("queries.refused");
-      metrics_.log("unanswered", "refused: " + tell(request, plan));
+      metrics_.log("unanswered", "refused (" + refuse->why + "): " + tell(request, plan));
       co_return refused("overload", refuse->retry_after);
 
     } else if (std::get_if<FailChosen>(&*choice)) {
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -389,7 +389,7 @@
                        ? "queries.refused_under_way"
                        : "queries.refused_unsent");
   metrics_.count(std::string("queries.refused_") + action.why);
-  choose(action.query, RefuseChosen{to_duration(FractionalMs(action.retry_after_ms))});
+  choose(action.query, RefuseChosen{to_duration(FractionalMs(action.retry_after_ms)), action.why});
 }
 
 void Driver::act(const cottonbay::Fail& action) { choose(action.query, FailChosen{}); }
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -27,6 +27,7 @@
 };
 struct RefuseChosen {
   Duration retry_after{};
+  std::string why;  // the module's reason: "load", "share", "holders", "late", "given_up"
 };
 struct FailChosen {};
 struct PartIn {
