Read the hand-over before each operators' call, so no process writes over the other

Cause: at an upgrade both processes keep the set of nodes out by hand in one file under $TMPDIR and looked at it every 200 ms only. A call at the new process within 200 ms of one at the old wrote its own set over the other's: the new test (OFFLINE n1 at the old, OFFLINE n2 at the new, then OFFLINE n1 at the new) answered "out n1" where the ban was already made, and n1 would have been free at the new process.

Change: each call reads the file first and takes what the other process was told, then decides. Program tests use a $TMPDIR of their own each, as ctest runs them side by side.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -97,6 +97,8 @@
       metrics.log("admin", "a call that cannot be read: " + problem);
       return operations::failure(problem);
     }
+    // Guards against a change made at the other process of an upgrade in the last moments being written over.
+    if (!handover.empty()) refresh_handover();
     operations::Facts facts;
     facts.started = true;
     facts.stopping = stopping;
@@ -122,19 +124,23 @@
     return verdict.line();
   }
 
-  // What the other process of an upgrade has said of nodes out by hand, also before this one started.
+  // What the other process of an upgrade has said of nodes out by hand, also before this one started; looked
+  // at again and again.
   void take_handover() {
-    std::ifstream in(handover, std::ios::binary);
-    std::string text;
-    if (in) text.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
-    if (in && text != handover_seen && door.restore(text)) {
-      handover_seen = text;
-      broker.hold_out(door.out());
-      metrics.log("hand", "taken over: out by hand: " + std::to_string(door.out().size()));
-    }
+    refresh_handover();
     handover_timer = scheduler.in(limits.handover_every, [this] { take_handover(); });
   }
 
+  void refresh_handover() {
+    std::ifstream in(handover, std::ios::binary);
+    if (!in) return;
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    if (text == handover_seen || !door.restore(text)) return;
+    handover_seen = text;
+    broker.hold_out(door.out());
+    metrics.log("hand", "taken over: out by hand: " + std::to_string(door.out().size()));
+  }
+
   void save_handover() {
     const std::string text = door.saved();
     const std::string temporary = handover + ".new";
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <cstdio>
@@ -190,6 +191,14 @@
   return {"GW_ADMIN_ADDR=127.0.0.1:0", "TMPDIR=" + tmp};
 }
 
+// A $TMPDIR of the test's own, as tests run side by side.
+std::string own_tmpdir(const char* name) {
+  const std::string dir = testing::TempDir() + "kelpdeal-" + name + "-" + std::to_string(::getpid());
+  ::mkdir(dir.c_str(), 0700);
+  std::remove((dir + "/kelpdeal-n0.out").c_str());
+  return dir;
+}
+
 // Nodes out by hand get nothing new, whatever the list says, until their call back; an id never listed is
 // owed a no; a ban holds for the next process of an upgrade.
 TEST(TheProgram, TakesDataNodesOutByHandAtTheOperatorsDoor) {
@@ -197,8 +206,7 @@
   // n1 is the fastest, and so the one the module prefers wherever it may be asked.
   for (int i : {0, 2})
     world.nodes[i]->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 20ms}; };
-  const std::string tmp = testing::TempDir();
-  std::remove((tmp + "/kelpdeal-n0.out").c_str());
+  const std::string tmp = own_tmpdir("hand");
   Program program(world, world.config_text(), "127.0.0.1:0", {}, door_environment(tmp));
   const std::string address = program.address();
   const std::string door = program.address();
@@ -243,6 +251,34 @@
     EXPECT_GT(world.nodes[1]->seen.size(), before);
   }());
   std::remove((tmp + "/kelpdeal-n0.out").c_str());
+  ::rmdir(tmp.c_str());
+}
+
+// The two processes of an upgrade share $TMPDIR: a call at one is seen by the other at once, and neither
+// writes over what the other was told.
+TEST(TheProgram, BothProcessesOfAnUpgradeKeepOneSetOfNodesOutByHand) {
+  World world({});
+  const std::string tmp = own_tmpdir("upgrade");
+  const Descriptor socket = listening_socket();
+  const std::string address = local_address(socket.get());
+  std::vector<std::string> environment = door_environment(tmp);
+  environment.push_back("GW_PASSED_SOCKET=4");
+  Program old(world, world.config_text(), address, {}, environment, socket.get());
+  old.address();
+  const std::string old_door = old.address();
+  Program next(world, world.config_text(), address, {}, environment, socket.get());
+  next.address();
+  const std::string next_door = next.address();
+  world.run([&]() -> Task<void> {
+    EXPECT_EQ(co_await door_call(world, old_door, "OFFLINE n1\n"), "SUCCESS out n1\n");
+    EXPECT_EQ(co_await door_call(world, next_door, "OFFLINE n2\n"), "SUCCESS out n2\n");
+    EXPECT_EQ(co_await door_call(world, next_door, "OFFLINE n1\n"), "SUCCESS already out n1\n");
+    EXPECT_EQ(co_await door_call(world, old_door, "OFFLINE n2\n"), "SUCCESS already out n2\n");
+    EXPECT_EQ(co_await door_call(world, old_door, "ONLINE n1\n"), "SUCCESS back n1\n");
+    EXPECT_EQ(co_await door_call(world, next_door, "ONLINE n1\n"), "SUCCESS was not out n1\n");
+  }());
+  std::remove((tmp + "/kelpdeal-n0.out").c_str());
+  ::rmdir(tmp.c_str());
 }
 
 // LEAVE: not ready, kept connections close after their answers; JOIN: ready again. Silent and half callers
@@ -251,7 +287,8 @@
   World world({});
   for (auto& node : world.nodes)
     node->behave = [](const Seen&) { return Answer{Answer::Kind::serve, 1, 200ms}; };
-  Program program(world, world.config_text(), "127.0.0.1:0", {}, door_environment(testing::TempDir()));
+  const std::string tmp = own_tmpdir("leave");
+  Program program(world, world.config_text(), "127.0.0.1:0", {}, door_environment(tmp));
   const std::string address = program.address();
   const std::string door = program.address();
   world.run([&]() -> Task<void> {
@@ -281,6 +318,7 @@
     EXPECT_EQ(co_await door_call(world, door, "DANCE\n"), "FAILURE unknown call\n");
   }());
   EXPECT_TRUE(program.running());
+  ::rmdir(tmp.c_str());
 }
 
 TEST(TheProgram, FinishesWhatItTookWhenToldToStop) {
