One listener constructor for bound and handed-down sockets; one id check

Read of the change: HttpServer had two constructors whose bodies were the same but for how the listener came to be, and the gateway picked one of two prvalues by a ternary; Listener had two constructors that ended alike. Now Listener(scheduler, address, backlog, inherited = {}) binds or adopts, and HttpServer passes `inherited` through; the gateway always names its address (GW_LISTEN was required already, so a passed socket beside an address that cannot be parsed now stops the start where it was ignored before).

Door::restore checked an id by parsing "OFFLINE " + id as a call; the check the parser uses is now valid_node_id and both call it. The door's bound of nodes out at once stood as a literal in the gateway beside its default; it is Limits::admin_out, handed down like the rest.

--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -44,11 +44,9 @@
 
 class HttpServer {
  public:
+  // With `inherited`, on that socket as it listens (the platform's descriptor 4 at an upgrade), not `listen`.
   HttpServer(Scheduler& scheduler, Address listen, const Limits& limits, Metrics& metrics,
-             HttpHandler& handler);
-  // On a socket that already listens (the platform's descriptor 4 at an upgrade).
-  HttpServer(Scheduler& scheduler, Descriptor inherited, const Limits& limits, Metrics& metrics,
-             HttpHandler& handler);
+             HttpHandler& handler, Descriptor inherited = {});
   Address address() const { return listener_.address(); }
 
   // A planned stop: serves on for a while, then closes the listener and what is idle. drained() tells when
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -92,6 +92,7 @@
   // on.
   std::size_t admin_callers = 64;
   std::size_t admin_line = 512;
+  std::size_t admin_out = 4'096;  // data nodes out by hand at once
   Duration admin_read = Milliseconds(3'000);
   Duration admin_write = Milliseconds(1'000);
   Duration leave_close = Milliseconds(1'000);
--- a/include/kelpdeal/operations/command.h
+++ b/include/kelpdeal/operations/command.h
@@ -20,6 +20,9 @@
 // is taken in any case. Nothing, and `problem` says why, if it is not one of the calls.
 std::optional<Command> parse_command(std::string_view line, std::string& problem);
 
+// Whether a data node's id may stand in a call: one word of printable ASCII.
+bool valid_node_id(std::string_view id);
+
 // Collects a call's line from what arrives in pieces, bounded: a line longer than `most` bytes is refused.
 class LineReader {
  public:
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -72,11 +72,10 @@
 
 class Listener : private Readiness {
  public:
-  // Throws std::system_error if the address cannot be had.
-  Listener(Scheduler& scheduler, Address address, int backlog);
-  // Takes over a socket that already listens, as one handed down by the platform (descriptor 4 at an
-  // upgrade). Throws std::system_error if it is not a listening TCP socket.
-  Listener(Scheduler& scheduler, Descriptor inherited);
+  // Binds the address, or, given `inherited`, takes over that socket as it listens (one handed down by the
+  // platform, descriptor 4 at an upgrade) and the address is not used. Throws std::system_error if the
+  // address cannot be had or `inherited` is no listening socket.
+  Listener(Scheduler& scheduler, Address address, int backlog, Descriptor inherited = {});
   ~Listener() override;
   // Null once closed.
   Task<std::unique_ptr<Stream>> accept();
@@ -85,6 +84,8 @@
 
  private:
   void ready(std::uint32_t events) override;
+  void bind_to(Address address, int backlog);
+  void adopt();
   Scheduler& scheduler_;
   Descriptor descriptor_;
   Parker parker_;
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -6,23 +6,12 @@
 namespace kelpdeal {
 
 HttpServer::HttpServer(Scheduler& scheduler, Address listen, const Limits& limits, Metrics& metrics,
-                       HttpHandler& handler)
+                       HttpHandler& handler, Descriptor inherited)
     : scheduler_(scheduler),
       limits_(limits),
       metrics_(metrics),
       handler_(handler),
-      listener_(scheduler, listen, limits.backlog),
-      chunk_(limits.read_chunk) {
-  scheduler_.spawn(accept_all());
-}
-
-HttpServer::HttpServer(Scheduler& scheduler, Descriptor inherited, const Limits& limits, Metrics& metrics,
-                       HttpHandler& handler)
-    : scheduler_(scheduler),
-      limits_(limits),
-      metrics_(metrics),
-      handler_(handler),
-      listener_(scheduler, std::move(inherited)),
+      listener_(scheduler, listen, limits.backlog, std::move(inherited)),
       chunk_(limits.read_chunk) {
   scheduler_.spawn(accept_all());
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -70,10 +70,8 @@
         discovery(scheduler, needed_address(config.discovery, "discovery"), limits, metrics, config.seed,
                   broker),
         front(broker, config.limits, metrics),
-        server(config.passed_socket >= 0
-                   ? HttpServer(scheduler, Descriptor(config.passed_socket), config.limits, metrics, front)
-                   : HttpServer(scheduler, needed_address(config.listen, "listen"), config.limits, metrics,
-                                front)),
+        server(scheduler, needed_address(config.listen, "listen"), config.limits, metrics, front,
+               Descriptor(config.passed_socket)),
         handover(config.handover) {
     discovery.start_from(config.known.version);
     if (!handover.empty()) take_handover();
@@ -176,7 +174,7 @@
   HttpServer server;
   std::optional<OpenSearchFront> search_front;
   std::optional<HttpServer> search_server;
-  operations::Door door{operations::DoorLimits{4'096, limits.leave_close}};
+  operations::Door door{operations::DoorLimits{limits.admin_out, limits.leave_close}};
   const std::string handover;
   std::string handover_seen;
   bool stopping = false;
--- a/src/operations/command.cpp
+++ b/src/operations/command.cpp
@@ -27,12 +27,13 @@
   return text;
 }
 
-bool printable(std::string_view word) {
-  return std::all_of(word.begin(), word.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
-}
-
 }  // namespace
 
+bool valid_node_id(std::string_view id) {
+  return !id.empty() &&
+         std::all_of(id.begin(), id.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
+}
+
 std::optional<Command> parse_command(std::string_view line, std::string& problem) {
   const std::vector<std::string_view> words = words_of(line);
   if (words.empty()) {
@@ -60,7 +61,7 @@
     return std::nullopt;
   }
   if (wanted == 2) {
-    if (!printable(words[1])) {
+    if (!valid_node_id(words[1])) {
       problem = "the id is not printable";
       return std::nullopt;
     }
--- a/src/operations/door.cpp
+++ b/src/operations/door.cpp
@@ -75,9 +75,7 @@
   while (!text.empty()) {
     const std::size_t end = text.find('\n');
     const std::string_view node = text.substr(0, end);
-    std::string problem;
-    if (node.empty() || read.size() >= limits_.most_out) return false;
-    if (!parse_command("OFFLINE " + std::string(node), problem)) return false;
+    if (!valid_node_id(node) || read.size() >= limits_.most_out) return false;
     read.emplace(node);
     text.remove_prefix(end + 1);
   }
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -153,21 +153,26 @@
   co_return stream;
 }
 
-Listener::Listener(Scheduler& scheduler, Address address, int backlog)
-    : scheduler_(scheduler),
-      descriptor_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
-      parker_(scheduler) {
+Listener::Listener(Scheduler& scheduler, Address address, int backlog, Descriptor inherited)
+    : scheduler_(scheduler), descriptor_(std::move(inherited)), parker_(scheduler) {
+  if (descriptor_)
+    adopt();
+  else
+    bind_to(address, backlog);
+  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
+}
+
+void Listener::bind_to(Address address, int backlog) {
+  descriptor_ = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!descriptor_) raise("socket");
   const int on = 1;
   ::setsockopt(descriptor_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (::bind(descriptor_.get(), reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0)
     raise("bind " + address.text());
   if (::listen(descriptor_.get(), backlog) != 0) raise("listen " + address.text());
-  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
 }
 
-Listener::Listener(Scheduler& scheduler, Descriptor inherited)
-    : scheduler_(scheduler), descriptor_(std::move(inherited)), parker_(scheduler) {
+void Listener::adopt() {
   int listening = 0;
   socklen_t size = sizeof listening;
   if (::getsockopt(descriptor_.get(), SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0)
@@ -179,7 +184,6 @@
   const int flags = ::fcntl(descriptor_.get(), F_GETFL);
   ::fcntl(descriptor_.get(), F_SETFL, flags | O_NONBLOCK);
   ::fcntl(descriptor_.get(), F_SETFD, FD_CLOEXEC);
-  scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLET, *this);
 }
 
 Listener::~Listener() { close(); }
