Leave no .new behind where no hand-over path is configured

Seen: a file .new was tracked at the root. Cause: Gateway::operate (the embedding call) with no admin address leaves Config::handover empty; Parts::save_handover (gateway.cpp) then writes to "" + ".new" in whatever folder the program was started from, and the rename to "" fails with a log line. Ruled out: the program itself, which takes calls at its door only, and has a path then.

Test ByHand.WithoutADoorACallLeavesNoFileBehind, seen to fail without the mend. Before: the file at each such call; after: none.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -173,6 +173,8 @@
   }
 
   void save_handover() {
+    // Without a door in the configuration nobody takes over: calls come from the embedding program alone.
+    if (handover.empty()) return;
     const std::string text = door.saved();
     const std::string temporary = handover + ".new";
     {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: MIT
 // The platform's side: its front's bad input, discovery's watch, and connections to record nodes.
+#include <cstdio>
+#include <fstream>
+
 #include "stand_ins.h"
 
 namespace kelpdeal::test {
@@ -224,6 +227,16 @@
   }
 }
 
+// Danger: without a door there is no path to hand over at, and `path + ".new"` is a file in whatever folder the
+// program was started from.
+TEST(ByHand, WithoutADoorACallLeavesNoFileBehind) {
+  std::remove(".new");
+  World world({});
+  world.start();
+  EXPECT_EQ(world.gateway->operate("OFFLINE n1"), "SUCCESS out n1\n");
+  EXPECT_FALSE(std::ifstream(".new").good());
+}
+
 // Nobody subscribes where lists are pushed. Danger: the list saved before the start is then all there ever
 // is, and what drains is sent work for ever.
 TEST(Discovery, APushedListIsKeptUpUnaskedAlsoByAnAgentThatDoesNotWait) {
