--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,5 +1,9 @@
 // SPDX-License-Identifier: MIT
 // What many coordinators do together, each a module of its own that learns nothing of the others.
+#include <cmath>
+#include <numeric>
+#include <random>
+
 #include "fixture.h"
 
 using namespace cottonbay;
@@ -58,6 +62,118 @@
   EXPECT_GE(most, 100u);  // and it is used
 }
 
+// A fleet in virtual time: so many modules, each with queries of its own at a rate of its own, and servers
+// that answer after a while. One server starts anew, cold, in the midst of it and its partner leaves just
+// then, so that all that is asked of their shards presses on it. How many parts all modules send it within
+// any span that the rule names, against the budget N that the settings allow at the span's begin.
+class ColdStart {
+ public:
+  // `restarted`: of the modules, so many begin anew as the server does.
+  ColdStart(int mixers, int restarted, std::uint64_t seed) : mixers_(mixers), random_(seed) {
+    settings_ = in_ring(fleet_settings(), kServers);
+    settings_.mixers = mixers;
+    settings_.max_attempts = 4;
+    std::vector<double> weights;
+    for (int i = 0; i < mixers; ++i) weights.push_back(i % 10 == 0 ? 4 : i % 2 ? 0.5 : 1);  // uneven
+    const double all = std::accumulate(weights.begin(), weights.end(), 0.0);
+    for (int i = 0; i < mixers; ++i) {
+      settings_.rank = i;
+      members_.emplace_back(Host(settings_, seed * 1000 + static_cast<std::uint64_t>(i)));
+      members_.back().gap_ms = 2 / (kUsed * kServers * kCapacity * weights[i] / all);
+      members_.back().next_ms = members_.back().gap_ms * uniform();
+    }
+    std::vector<ServerEntry> servers;
+    for (int i = 0; i < kServers; ++i) servers.push_back(Host::server(11 + i, i));
+    for (Member& member : members_) member.host.list(0, servers);
+    play(0, kBack);
+    for (int i = 0; i < restarted; ++i) {
+      Member& member = members_[static_cast<std::size_t>(mixers - 1 - i)];
+      member.host = Host(settings_, seed * 1000 + 500 + static_cast<std::uint64_t>(i));
+      member.answers.clear();
+      member.seen = 0;
+      member.host.list(kBack, servers, ListKind::saved);
+    }
+    for (Member& member : members_)
+      member.host.list(kBack, {Host::server(12, 1, kBack), Host::server(11, 0, 0, ServerState::draining)},
+                       ListKind::changes);
+    play(kBack, kHot);
+    for (Member& member : members_) member.next_ms = kHot + 100 * uniform();  // one burst through all
+    play(kHot, kBack + 8000);
+  }
+  std::size_t sent() const { return to_cold_.size(); }
+  // The most that a span holds beyond N + 2 x root of N + 2; 0 or less if none does.
+  double over() const {
+    double worst = -1e9;
+    for (std::size_t from = 0, to = 0; from < to_cold_.size(); ++from) {
+      while (to < to_cold_.size() && to_cold_[to] < to_cold_[from] + settings_.tip_after_ms) ++to;
+      const double share =
+          settings_.cold_from + (1 - settings_.cold_from) * (to_cold_[from] - kBack) / settings_.cold_ms;
+      const double n = settings_.tip_multiple * share * kCapacity * settings_.tip_after_ms;
+      worst = std::max(worst, static_cast<double>(to - from) - (n + 2 * std::sqrt(n) + 2));
+    }
+    return worst;
+  }
+
+ private:
+  static constexpr int kServers = 12;
+  static constexpr double kCapacity = 0.016, kUsed = 0.6;  // parts a ms that a warm server answers; in use
+  static constexpr double kBack = 8000, kHot = kBack + 2500, kTick = 5, kLatency = 90;
+  struct Member {
+    explicit Member(Host h) : host(std::move(h)) {}
+    Host host;
+    double gap_ms = 0, next_ms = 0;
+    std::size_t seen = 0;                                      // of what it sent
+    std::multimap<double, std::pair<RequestId, int>> answers;  // by when
+    RequestId next_id = 10;
+  };
+  double uniform() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  void play(double from, double until) {
+    for (double now = from + kTick; now <= until; now += kTick)
+      for (Member& member : members_) {
+        while (!member.answers.empty() && member.answers.begin()->first <= now) {
+          const RequestId part = member.answers.begin()->second.first;
+          member.answers.erase(member.answers.begin());
+          member.host.ends(now, part, Outcome::ok);
+        }
+        member.host.feed(now);
+        while (member.next_ms <= now) {
+          // Two neighbouring shards; those of the cold server in no query for a while after its start, while
+          // each module may save up for it, and then in all of them.
+          const bool hot = now > kHot;
+          const int shard = hot ? 0 : 2 + static_cast<int>(uniform() * (kServers - 3));
+          auto events = Host::query(member.next_id, "whole", 2, now + 6000);
+          std::get<PartArrived>(events[1]).shard = shard;
+          std::get<PartArrived>(events[2]).shard = (shard + 1) % kServers;
+          member.next_id += 10;
+          member.host.feed(now, events);
+          member.next_ms += -std::log(1 - uniform()) * member.gap_ms;
+        }
+        for (; member.seen < member.host.sent.size(); ++member.seen) {
+          const auto& sent = member.host.sent[member.seen];
+          if (sent.send.server == 12 && now > kBack) to_cold_.push_back(now);
+          member.answers.emplace(now + kLatency * (0.7 + 0.6 * uniform()),
+                                 std::pair(sent.send.part, sent.attempt));
+        }
+      }
+  }
+
+  const int mixers_;
+  std::mt19937_64 random_;
+  Settings settings_;
+  std::vector<Member> members_;
+  std::vector<double> to_cold_;
+};
+
+TEST(Fleet, AllTogetherSendAColdServerNoMoreThanItsBudgetBears) {
+  for (const int mixers : {3, 20, 30})
+    for (const int restarted : {0, mixers / 3})
+      for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        const ColdStart day(mixers, restarted, seed);
+        EXPECT_LE(day.over(), 0) << mixers << " modules, " << restarted << " restarted, seed " << seed;
+        EXPECT_GE(day.sent(), 20u) << mixers;  // and it is used
+      }
+}
+
 // Six in ten are replaced: old ones gone, new ones cold, the list behind. Every part still has a holder.
 TEST(Fleet, WhileMostServersAreReplacedEveryShardHasAHolderThatIsAsked) {
   Host host(in_ring(fleet_settings(), 10));
