Linger at every close of ours; no newcomer is reset; see a close behind unread bytes

Need: a shutdown or close that crosses bytes loses nothing; a client that closed is gone, also over unread bytes.

Causes, found by reading each close and forced in tests on real sockets (http_server.cpp before this commit): - close_idle(), shed_one() and shed_idle() called Stream::cancel(), and converse() then closed the descriptor at once. A request that had come meanwhile made the close a reset; only answer() lingered. - drain()'s timer closed the listener over connections that were up but not accepted: each was reset unanswered. - exchange() learnt of a client's close by epoll alone. A request read in the turn of its accept was dealt with before any event of it, so a client that had closed already, with or without bytes behind its request, was served.

Change: part() is the one way out: shut down, read and drop what still comes (counted as clients.dropped_late, never sent on), then close; to make room only what is there is read. Stream::interrupt() ends the read that waits and nothing else. The listener's queue is accepted before it closes. Stream::peer_closed() asks the socket, also behind unread bytes.

--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -67,7 +67,9 @@
     TimePoint connected = Clock::now();
     TimePoint since = connected;  // of the present state
     enum class State { silent, idle, reading, serving, lingering } state = State::silent;
-    bool closing = false, shed = false;
+    bool closing = false;                // after the present answer
+    bool shed = false, parting = false;  // between two requests: to make room; as we send clients away
+    bool lost = false;    // the client has closed it, or takes nothing more: nobody to linger for
     bool invite = false;  // the client waits for word that its body is wanted
     void turn(State next) {
       state = next;
@@ -83,6 +85,10 @@
   Task<bool> exchange(Connection& connection);
   Task<bool> take_stream(Connection& connection, TimePoint received);
   Task<void> answer(Connection& connection, http::Response response);
+  Task<void> part(Connection& connection);
+  void take(std::unique_ptr<Stream> stream);
+  static void listen_for_leave(Connection& connection, Caller& caller);
+  static bool left(Connection& connection, const Caller& caller);
   bool shed_one();
   void shed_idle();
 
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -53,10 +53,14 @@
   void finish_writing();
   // Ends whatever waits here, now and later.
   void cancel();
+  // Ends the read that waits here, if one does, as cancelled; what is read later is read as ever.
+  void interrupt();
   // The address at the other side.
   Address peer() const;
   // True if bytes or an end are there to be read.
   bool has_input() const;
+  // True if the other side has closed or reset the connection, also behind bytes that nobody has read yet.
+  bool peer_closed() const;
 
  private:
   void ready(std::uint32_t events) override;
@@ -79,6 +83,8 @@
   ~Listener() override;
   // Null once closed.
   Task<std::unique_ptr<Stream>> accept();
+  // What is up already and waits to be accepted; null if nothing does.
+  std::unique_ptr<Stream> accept_waiting();
   void close();
   Address address() const;
 
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -18,10 +18,7 @@
 
 Task<void> HttpServer::accept_all() {
   while (auto stream = co_await listener_.accept()) {
-    metrics_.count("clients.connections");
-    connections_.emplace_back(std::move(stream), limits_.http);
-    connections_.back().parser.stop_at_head();
-    scheduler_.spawn(converse(std::prev(connections_.end())));
+    take(std::move(stream));
     shed_idle();
     // Guards against more descriptors than we may hold: newcomers wait in the backlog until one is free.
     while (connections_.size() >= limits_.client_connections) {
@@ -33,6 +30,13 @@
   accepting_ = false;
 }
 
+void HttpServer::take(std::unique_ptr<Stream> stream) {
+  metrics_.count("clients.connections");
+  connections_.emplace_back(std::move(stream), limits_.http);
+  connections_.back().parser.stop_at_head();
+  scheduler_.spawn(converse(std::prev(connections_.end())));
+}
+
 // Guards against clients that ask once and keep their connection: once these hold all that the platform gives
 // to requests, nobody else gets one. The longest idle ones go.
 void HttpServer::shed_idle() {
@@ -49,7 +53,7 @@
   idle.resize(std::min(idle.size(), used - limits_.client_requests));
   for (Connection* c : idle) {
     c->shed = true;
-    c->stream->cancel();
+    c->stream->interrupt();
   }
   metrics_.count("clients.shed_idle", idle.size());
 }
@@ -76,7 +80,7 @@
   if (!least) return false;
   metrics_.count("clients.shed");
   least->shed = true;
-  least->stream->cancel();
+  least->stream->interrupt();
   return true;
 }
 
@@ -88,14 +92,23 @@
   parting_timer_ = scheduler_.in(limits_.drain_accept, [this] { parting_ = true; });
   drain_timer_ = scheduler_.in(limits_.drain_serve, [this] {
     closing_ = true;
+    // Guards against newcomers that are up but not accepted yet: a closed listener resets them unanswered.
+    while (connections_.size() < limits_.client_connections) {
+      auto stream = listener_.accept_waiting();
+      if (!stream) break;
+      take(std::move(stream));
+    }
     listener_.close();
     close_idle();
   });
 }
 
 void HttpServer::close_idle() {
-  for (Connection& connection : connections_)
-    if (connection.between() && !connection.stream->has_input()) connection.stream->cancel();
+  for (Connection& connection : connections_) {
+    if (!connection.between()) continue;
+    connection.parting = true;  // unless a request is there, which is read first
+    if (!connection.stream->has_input()) connection.stream->interrupt();
+  }
 }
 
 void HttpServer::leave(TimePoint close_from) {
@@ -114,6 +127,7 @@
   try {
     while (co_await exchange(*place)) {
     }
+    co_await part(*place);
   } catch (const std::exception& e) {
     // Guards against a connection that stays on the list, and holds up a drain, after its task has failed.
     metrics_.log("fault", e.what());
@@ -160,6 +174,20 @@
   http::State state_ = http::State::more;
 };
 
+// Tells the caller once its client has closed the connection. Guards against one that closed while its
+// request stood unread, perhaps with more bytes behind it: no event of that is left to come.
+void HttpServer::listen_for_leave(Connection& connection, Caller& caller) {
+  connection.stream->on_hang_up([&caller] { caller.leave(); });
+  if (!caller.gone() && connection.stream->peer_closed()) caller.leave();
+}
+
+// True if the client left meanwhile; nobody waits for an answer then.
+bool HttpServer::left(Connection& connection, const Caller& caller) {
+  connection.stream->on_hang_up(nullptr);
+  connection.lost |= caller.gone();
+  return caller.gone();
+}
+
 // A request whose body is dealt with as it comes. False once the connection is to be closed.
 Task<bool> HttpServer::take_stream(Connection& connection, TimePoint received) {
   http::Request head = connection.parser.message();
@@ -169,10 +197,9 @@
                                           Clock::now() + limits_.client_read);
   Streamed body(*this, connection);
   Caller caller;
-  connection.stream->on_hang_up([&caller] { caller.leave(); });
+  listen_for_leave(connection, caller);
   http::Response response = co_await handler_.stream(std::move(head), body, caller, received);
-  connection.stream->on_hang_up(nullptr);
-  if (caller.gone()) co_return false;
+  if (left(connection, caller)) co_return false;
   // What was not read of the body cannot be told from a next request.
   if (body.whole())
     connection.parser.take();
@@ -189,6 +216,9 @@
   using State = Connection::State;
   const bool first = connection.state == State::silent;
   http::State state = advance(connection);
+  if ((connection.shed || connection.parting) && state == http::State::more && connection.parser.idle() &&
+      !connection.stream->has_input())
+    co_return false;
   TimePoint deadline =
       first ? connection.connected + limits_.client_first : Clock::now() + limits_.client_idle;
   TimePoint received = Clock::now();
@@ -204,6 +234,7 @@
       co_await answer(connection, handler_.reject(408, "the request was not finished in time"));
     }
     if (got.io == Io::timed_out && first && connection.parser.idle()) metrics_.count("clients.silent");
+    connection.lost |= got.io == Io::ended || got.io == Io::broken;
     if (got.io != Io::ok) co_return false;
     received = Clock::now();
     connection.parser.feed({chunk_.data(), got.bytes});
@@ -224,10 +255,9 @@
   http::Request request = connection.parser.take();
   connection.closing = !request.keeps_alive();
   Caller caller;
-  connection.stream->on_hang_up([&caller] { caller.leave(); });
+  listen_for_leave(connection, caller);
   http::Response response = co_await handler_.handle(std::move(request), caller, received);
-  connection.stream->on_hang_up(nullptr);
-  if (caller.gone()) co_return false;
+  if (left(connection, caller)) co_return false;
   const bool malformed = response.status >= 400 && response.status < 429;
   co_await answer(connection, std::move(response));
   if (connection.closing) co_return false;
@@ -244,19 +274,23 @@
   metrics_.count("clients.status_" + std::to_string(response.status));
   const IoResult put =
       co_await connection.stream->write_all(http::write(response), Clock::now() + limits_.client_write);
-  if (put.io != Io::ok) {
-    connection.closing = true;
-    co_return;
-  }
-  if (!connection.closing) co_return;
-  // Guards against an answer lost to a reset: bytes unread at the close would make one. Of a body that goes
-  // on and on only so much is read, as reading all of it would take the time of everybody else.
+  if (put.io == Io::ok) co_return;
+  connection.closing = connection.lost = true;  // it takes nothing more
+}
+
+// How each of our own closes goes. Guards against an answer lost to a reset: bytes unread at the close would
+// make one. What comes after the shutdown is read and dropped, never sent on: its client sees the end, and
+// asks again elsewhere. Of a body that goes on and on only so much is read, as reading all of it would take
+// the time of everybody else; and where a connection makes room, only what is there.
+Task<void> HttpServer::part(Connection& connection) {
+  if (connection.lost) co_return;
   connection.turn(Connection::State::lingering);
   connection.stream->finish_writing();
-  const TimePoint until = Clock::now() + limits_.client_linger;
+  const TimePoint until = Clock::now() + (connection.shed ? Duration::zero() : limits_.client_linger);
   for (std::size_t left = limits_.linger_bytes; left > 0;) {
     const IoResult got = co_await connection.stream->read_some(chunk_, until);
     if (got.io != Io::ok) co_return;
+    metrics_.count("clients.dropped_late");
     left -= std::min(left, got.bytes);
   }
 }
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -87,6 +87,17 @@
   writer_.wake(Wake::cancelled);
 }
 
+void Stream::interrupt() { reader_.wake(Wake::cancelled); }
+
+bool Stream::peer_closed() const {
+  if (hung_up_) return true;
+  pollfd one{descriptor_.get(), POLLIN | POLLRDHUP, 0};
+  if (::poll(&one, 1, 0) <= 0) return false;
+  if (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) return true;
+  char byte = 0;
+  return ::recv(descriptor_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 Address Stream::peer() const {
   Address address;
   socklen_t size = sizeof address.raw;
@@ -204,15 +215,21 @@
   return address;
 }
 
-Task<std::unique_ptr<Stream>> Listener::accept() {
+std::unique_ptr<Stream> Listener::accept_waiting() {
   while (descriptor_) {
     Descriptor fd(::accept4(descriptor_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
-      auto stream = watched(scheduler_, std::move(fd));
-      if (stream) co_return stream;
-      continue;
+      if (auto stream = watched(scheduler_, std::move(fd))) return stream;
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      return nullptr;
     }
-    if (errno == EINTR || errno == ECONNABORTED) continue;
+  }
+  return nullptr;
+}
+
+Task<std::unique_ptr<Stream>> Listener::accept() {
+  while (descriptor_) {
+    if (auto stream = accept_waiting()) co_return stream;
     // Out of descriptors: the edge is used up, so look again soon by ourselves.
     const bool none_left = errno != EAGAIN && errno != EWOULDBLOCK;
     co_await parker_.park(none_left ? Clock::now() + Milliseconds(20) : kNever);
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -390,7 +390,13 @@
     file.emplace_back("peers", json::Array{"127.0.0.2:7946"});
     file.emplace_back("peers_all", "127.0.0.3:7946");
   }
-  return json::write(std::move(file));
+  std::string text = json::write(std::move(file));
+  for (const auto& [from, to] : options.settings) {
+    const std::size_t at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    if (at != std::string::npos) text.replace(at, from.size(), to);
+  }
+  return text;
 }
 
 void World::start() {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -128,6 +128,8 @@
   bool pushed = false, sets = false, reports = false, tenants = false;
   bool keyed = true;  // else all classes may be repeated, none has a second step
   std::function<void(Limits&)> adjust{};
+  std::vector<std::pair<std::string, std::string>>
+      settings{};  // text of GW_CONFIG: what stands there, and instead
 };
 
 // A coordinator with its nodes, in one thread. Shard s is held by the nodes s and s + 1 (mod node_count), in
