Take back what has not left when its client leaves, cancels or not

Need: no attempt, first or further, begins for a client that has gone; also for calls queued for a connection or batch.

Causes, by reading and then forced on real sockets: - Driver::forget left it to the module to call off a query's attempts. Where the settings allow no cancels it calls off nothing, so a part that waits behind others on its connection (FrameTransport's queue) was written later; and one chosen in the turn in which its life ended was lost until its time-out, which then counted against its node. - OpenSearchTransport::give_up took a part off the wanted ones only: run() wrote all of the call's parts once its connection was up, also those given up meanwhile. - Broker::serve acted on choices in the order they came, ahead of the client's leaving.

Change: NodeTransport::take_back() says whether nothing of an attempt has left, and then it never will; Driver::forget takes back what it can, at every end of a query; a call not yet begun drops what is given up; serve() looks first whether its client is there, before it tells the module and before each choice.

--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -94,6 +94,8 @@
   virtual void listed(NodeId node, const NodeEntry& entry) = 0;
   virtual void send(NodeId node, std::vector<Attempt> call) = 0;
   virtual void give_up(AttemptId attempt, Why why) = 0;
+  // True if nothing of the attempt has been written yet: it never will be, and its end is not reported.
+  virtual bool take_back(AttemptId attempt) = 0;
   virtual void probe(NodeId node) = 0;
   virtual void close_idle(NodeId node) = 0;
   // The node is gone from the list for good: nothing new goes to it, and nothing of it is kept once what is
--- a/include/kelpdeal/frame_transport.h
+++ b/include/kelpdeal/frame_transport.h
@@ -23,6 +23,7 @@
   void listed(NodeId node, const NodeEntry& entry) override;
   void send(NodeId node, std::vector<Attempt> call) override;
   void give_up(AttemptId attempt, Why why) override;
+  bool take_back(AttemptId attempt) override;
   void probe(NodeId node) override;
   void close_idle(NodeId node) override;
   void left(NodeId node) override;
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -185,6 +185,12 @@
     co_return rejected;
   }
   Held held(open_, needs);
+  const auto client_gone = [&] {
+    metrics_.count("queries.withdrawn");
+    return failed("client gone");
+  };
+  // Guards against work for nobody: the client may have closed before its request was read.
+  if (caller.gone()) co_return client_gone();
 
   Reply reply;
   for (const PartRequest& part : request.parts) reply.asked.push_back(part.shard);
@@ -197,6 +203,7 @@
     metrics_.log("unanswered", "refused (" + key.grant().why + "): a keyed operation");
     co_return refused("key", std::min(key.grant().retry_after, limits_.most_retry_after));
   }
+  if (caller.gone()) co_return client_gone();
 
   // Tell the module.
   std::vector<PartRequest> parts = request.parts;  // of the phase under way
@@ -209,7 +216,6 @@
   const RequestId query = driver_->query_arrived(request, choices);
   Registered registered(*driver_, caller, query);
   caller.on_leave = [&choices] { choices.put(ClientLeft{}); };
-  if (caller.gone()) choices.put(ClientLeft{});
   const auto answered = [&](bool whole) {
     reply.kind = Reply::Kind::answered;
     reply.whole = whole;
@@ -221,6 +227,11 @@
   // Act on what it chooses, phase by phase, until it ends the query.
   for (;;) {
     std::optional<Choice> choice = co_await choices.take(plan.until(margin_.margin()));
+    // Whatever was chosen before its client left and is not acted on yet: no attempt begins for it.
+    if (caller.gone()) {
+      driver_->withdraw(query);
+      co_return client_gone();
+    }
     if (plan.keeps() && (!choice || std::get_if<FailChosen>(&*choice))) {
       // What the phase before found goes out, in time: this one brings nothing.
       driver_->withdraw(query);
@@ -282,12 +293,7 @@
       metrics_.count("queries.failed");
       metrics_.log("unanswered", "failed: " + tell(request, plan));
       co_return failed("deadline");
-
-    } else {  // the client has left
-      driver_->withdraw(query);
-      metrics_.count("queries.withdrawn");
-      co_return failed("client gone");
-    }
+    }  // else the client has left: above
   }
 }
 
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -131,6 +131,14 @@
   it->second.choices = nullptr;
   it->second.sink = nullptr;
   leaving_.push_back(query);
+  // Guards against an attempt that begins for a query that is over, whether or not the module may cancel: one
+  // that waits for its turn, its connection or the other parts of its call is taken back and never sent.
+  for (const RequestId id : it->second.parts)
+    if (const auto part = parts_.find(id); part != parts_.end())
+      for (const AttemptId attempt : part->second.attempts)
+        if (const auto out = attempts_.find(attempt);
+            out != attempts_.end() && (!out->second.sent_on || transport_->take_back(attempt)))
+          end_attempt(attempt, {});
 }
 
 void Driver::listed(const NodeList& list, cottonbay::ListKind kind) {
@@ -335,6 +343,7 @@
   // Some may have ended while they waited.
   std::erase_if(call, [this](const Attempt& attempt) { return !attempts_.contains(attempt.id); });
   if (call.empty()) return;
+  for (const Attempt& attempt : call) attempts_[attempt.id].sent_on = true;
   metrics_.count("calls.sent");
   metrics_.count("attempts.sent", call.size());
   transport_->send(node, std::move(call));
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -90,6 +90,7 @@
     NodeId node = 0;
     TimePoint sent;
     Timer timer;
+    bool sent_on = false;  // handed to the transport
   };
   Task<void> turns();
   void tell(cottonbay::Event event);
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -188,6 +188,18 @@
   link->wanted.wake();
 }
 
+bool FrameTransport::take_back(AttemptId attempt) {
+  const auto it = where_.find(attempt);
+  const LinkPtr link = it == where_.end() ? nullptr : it->second.lock();
+  if (!link) return false;
+  for (Link::Item& item : link->queue)
+    if (std::erase_if(item.call, [&](const Attempt& a) { return a.id == attempt; }) > 0) {
+      where_.erase(it);
+      return true;
+    }
+  return false;
+}
+
 void FrameTransport::probe(NodeId node) {
   const LinkPtr link = pick(node, 0);
   if (!link) return sink_.probe_ended(node, Outcome::connect_failed, {}, {});
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -151,7 +151,7 @@
   std::vector<Attempt> parts;  // in the order written
   std::vector<AttemptId> wanted;
   std::unique_ptr<Stream> stream;
-  bool ended = false;
+  bool begun = false, ended = false;  // its request is being written, or was; nobody wants it any more
   // Of a multi-search: its answers as they come in, and how many have.
   std::optional<json::ItemStream> items;
   std::size_t read = 0;
@@ -206,12 +206,23 @@
   where_.erase(it);
   if (!call) return;
   std::erase(call->wanted, attempt);
+  // Guards against a part that is asked for after all with the others of its call, once their connection is
+  // up.
+  if (!call->begun) std::erase_if(call->parts, [&](const Attempt& part) { return part.id == attempt; });
   if (!call->wanted.empty()) return;
   // Closing the connection is how this API gives a request up.
   call->ended = true;
   if (call->stream) call->stream->cancel();
 }
 
+bool OpenSearchTransport::take_back(AttemptId attempt) {
+  const auto it = where_.find(attempt);
+  const CallPtr call = it == where_.end() ? nullptr : it->second.lock();
+  if (!call || call->begun) return false;
+  give_up(attempt, Why::cancelled);
+  return true;
+}
+
 void OpenSearchTransport::probe(NodeId node) { scheduler_.spawn(run_probe(node)); }
 void OpenSearchTransport::close_idle(NodeId id) {
   if (const auto node = nodes_.find(id); node != nodes_.end()) node->second.idle.clear();
@@ -344,6 +355,7 @@
     finish(*call, failed);
   } else {
     count_up(call->node, 1);
+    call->begun = true;
     const std::string bytes =
         http::write(write_node_request(call->parts, call->write, call->stream->peer().text(), Clock::now()));
     const IoResult put = co_await call->stream->write_all(bytes, Clock::now() + limits_.frame_time);
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -4,6 +4,7 @@
 // what the program does next finds it done; nothing waits for a race to happen.
 #include <sys/resource.h>
 
+#include "kelpdeal/frame_transport.h"
 #include "kelpdeal/http_server.h"
 #include "kelpdeal/opensearch_transport.h"
 #include "program.h"
@@ -193,5 +194,190 @@
   }
 }
 
+// ---- clients that are gone ----
+void until(World& world, std::function<bool()> so, Duration most = 5s) {
+  const auto wait = [&]() -> Task<void> {
+    const TimePoint last = Clock::now() + most;
+    bool is = so();
+    for (; !is && Clock::now() < last; is = so()) co_await world.pause(1ms);
+    EXPECT_TRUE(is);
+  };
+  world.run(wait(), most + 5s);
+}
+
+class Gone : public testing::TestWithParam<Api> {
+ protected:
+  static Options options() { return {GetParam(), GetParam()}; }
+};
+
+INSTANTIATE_TEST_SUITE_P(Fronts, Gone, testing::Values(Api::platform, Api::opensearch), nodes_of);
+
+// A burst of closes: all are gone before the first of their requests is read.
+TEST_P(Gone, ClientsThatCloseInABurstGetNoAttempt) {
+  World world(options());
+  world.start();
+  const Timer crossing = world.scheduler.at(Clock::now(), [&] {
+    for (int i = 0; i < 50; ++i) {
+      Peer peer(world.front_address());
+      const std::string bytes = http::write(world.request("equipment-search", "0,1", 1s, ""));
+      peer.write(i % 2 ? bytes : bytes + bytes.substr(0, 20));
+      peer.close();
+    }
+  });
+  until(world, [&] { return world.gateway->metrics().value("queries.withdrawn") == 50; });
+  EXPECT_EQ(world.parts_seen(), 0u);
+  EXPECT_EQ(world.gateway->metrics().value("attempts.sent"), 0u);
+}
+
+// The client closes in the very turn in which its node answers with an error, or with the first step's part:
+// no retry and no second step begins.
+TEST_P(Gone, NoFurtherAttemptBeginsForAClientThatClosesAsAnAnswerComes) {
+  for (const auto kind : {Answer::Kind::error, Answer::Kind::serve}) {
+    World world(options());
+    std::unique_ptr<Peer> peer;
+    std::size_t first = 0;
+    for (auto& node : world.nodes)
+      node->behave = [&](const Seen& part) {
+        first += !part.id.ends_with(".phase2");
+        if (first == 2) peer->close();
+        return Answer{kind, 1, {}, {}, {}};
+      };
+    world.start();
+    peer = std::make_unique<Peer>(world.front_address());
+    peer->write(http::write(world.request("area-report", "0,1", 1s, "")));
+    until(world, [&] { return world.gateway->metrics().value("queries.withdrawn") == 1; });
+    // Whatever had begun would be at its node before this one's parts are answered.
+    world.nodes[0]->behave = world.nodes[1]->behave =
+        world.nodes[2]->behave = [](const Seen&) { return Answer{}; };
+    const std::size_t before = world.parts_seen();
+    world.run([&]() -> Task<void> { co_await world.ask("equipment-search", "0,1,2", 1s); }());
+    EXPECT_EQ(before, 2u);
+    EXPECT_EQ(world.parts_seen(), before + 3);
+  }
+}
+
+// Outcomes as the transports report them.
+struct Ends : AttemptSink {
+  void attempt_ended(AttemptId attempt, AttemptResult result) override { of[attempt] = result.outcome; }
+  void probe_ended(NodeId, Outcome, Duration, cottonbay::LoadReport) override {}
+  std::map<AttemptId, Outcome> of;
+};
+
+// Two clients' parts wait in one call for its connection; one of them leaves. Only the other's part is asked
+// for.
+TEST_P(Gone, APartTakenBackWhileItsCallWaitsForAConnectionIsNotAskedForWithTheOthers) {
+  for (const bool given_up : {false, true}) {
+    Scheduler scheduler;
+    Metrics metrics(1s);
+    Limits limits;
+    Ends ends;
+    Node node(scheduler, GetParam());
+    std::unique_ptr<NodeTransport> transport;
+    if (GetParam() == Api::platform)
+      transport = std::make_unique<FrameTransport>(scheduler, limits, metrics, ends);
+    else
+      transport = std::make_unique<OpenSearchTransport>(scheduler, limits, metrics, ends);
+    NodeEntry entry;
+    entry.uid = "n0";
+    entry.endpoint = node.address();
+    transport->listed(1, entry);
+    std::vector<Attempt> call(2);
+    for (std::size_t i = 0; i < 2; ++i) {
+      call[i].id = i + 1;
+      call[i].query = "q" + std::to_string(i);
+      call[i].class_name = "equipment-search";
+      call[i].text = "{}";
+      call[i].until = Clock::now() + 2s;
+    }
+    transport->send(1, std::move(call));
+    if (given_up)
+      transport->give_up(1, NodeTransport::Why::cancelled);
+    else
+      EXPECT_TRUE(transport->take_back(1));
+    const auto wait = [&]() -> Task<void> {
+      while (!ends.of.contains(2)) co_await scheduler.sleep_until(Clock::now() + 1ms);
+    };
+    run_to_end(scheduler, wait(), 5s);
+    EXPECT_EQ(node.seen.size(), 1u);
+    EXPECT_EQ(node.seen[0].id.substr(0, 2), "q1");
+    EXPECT_FALSE(ends.of.contains(1));
+    EXPECT_FALSE(transport->take_back(2));  // what was written cannot be
+    scheduler.end_tasks();
+  }
+}
+
+// A node that takes a connection and reads nothing until told to.
+class Unread {
+ public:
+  Unread() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)) {
+    const int small = 4096;
+    ::setsockopt(listener_.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    Address any = *Address::parse("127.0.0.1:0");
+    EXPECT_EQ(::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&any.raw), sizeof any.raw), 0);
+    EXPECT_EQ(::listen(listener_.get(), 8), 0);
+  }
+  std::string address() const {
+    Address address;
+    socklen_t size = sizeof address.raw;
+    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address.raw), &size);
+    return address.text();
+  }
+  // The ids of the parts that have come by now.
+  const std::vector<std::string>& read() {
+    if (!link_) link_ = Descriptor(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK));
+    char buffer[65536];
+    for (ssize_t got = 1; link_ && got > 0;) {
+      got = ::recv(link_.get(), buffer, sizeof buffer, 0);
+      if (got > 0) reader_.feed({buffer, static_cast<std::size_t>(got)});
+    }
+    while (const auto frame = reader_.next()) {
+      const auto parts = frames::decode_call(frame->rest);
+      if (frame->letter == frames::kCall && parts)
+        for (const frames::CallPart& part : *parts) ids_.push_back(part.id.substr(0, part.id.find('.')));
+    }
+    return ids_;
+  }
+
+ private:
+  Descriptor listener_, link_;
+  frames::Reader reader_{8 << 20};
+  std::vector<std::string> ids_;
+};
+
+// Its part waits behind a call that the node does not read, where the settings allow no cancels: it is taken
+// back all the same, as none of it has left.
+TEST(Endings, APartThatWaitsForItsTurnOnAConnectionIsTakenBackWhenItsClientLeaves) {
+  Options options;
+  options.node_count = 1;
+  options.shards = 30;
+  options.settings = {{"\"cancel\":true", "\"cancel\":false"}, {"\"multiplex\":32", "\"multiplex\":400"}};
+  options.adjust = [](Limits& limits) { limits.frame_time = 10s; };
+  World world(options);
+  Unread node;
+  world.discovery->set("n0", node.address(), 0, "in_service");
+  world.start();
+  const auto sent = [&] { return world.gateway->metrics().value("attempts.sent"); };
+  // More than any buffer between the two takes: 4 calls of 8 parts of 60 kB, four times.
+  std::string slices = "0";
+  for (int slice = 1; slice < options.shards; ++slice) slices += "," + std::to_string(slice);
+  std::vector<std::unique_ptr<Peer>> wide;
+  for (int i = 0; i < 4; ++i) {
+    http::Request request = world.request("equipment-search", slices, 1s, "");
+    request.body.replace(request.body.find("{\\\"q\\\":1}"), 9, std::string(60'000, 'x'));
+    wide.push_back(std::make_unique<Peer>(world.gateway->address()));
+    wide.back()->write(http::write(request));
+  }
+  until(world, [&] { return sent() == 120; });
+  Peer second(world.gateway->address());
+  second.write(http::write(world.request("equipment-search", "4", 1s, "")));  // its id: q5
+  until(world, [&] { return sent() == 121; });
+  second.close();
+  until(world, [&] { return world.gateway->metrics().value("queries.withdrawn") == 1; });
+  Peer third(world.gateway->address());
+  third.write(http::write(world.request("equipment-search", "5", 1s, "")));
+  until(world, [&] { return !node.read().empty() && node.read().back() == "q6"; });
+  for (const std::string& id : node.read()) EXPECT_NE(id, "q5");
+}
+
 }  // namespace
 }  // namespace kelpdeal::test
