Hear what discovery has within the time after which it counts as told; keep descriptors

Need: a change counts as told 6 s after discovery had it and could be reached, whatever became of our call; idle clients must not take the descriptors that discovery and record nodes need.

Causes: DiscoveryPace::failed (pace.cpp) doubled its pause up to askEveryMs (10 s) after any failure, refused calls as well as queued ones, and the module's own wait (up to 3.1 s, more where askEveryMs is longer) came on top; a watch of a large fleet waited 5 s, so that one that fell silent was found after 6 s and asked again up to 5 s later.

Change: DiscoveryClient opens its watch anew by itself at the pace's word. A watch waits for a third of told_after (6 s) at the most. A pause after a call that cost discovery nothing (it failed sooner than half the slack) leaves time for a further call; after calls that stood in its queue in vain pauses grow until all callers together ask for half of what it can do, as before for a hundred, at most 1.5 s for few. Descriptors are shared out of the lesser of the two figures.

Discovery.AWatchIsNotRepeated... let a watch wait for 20 s; it now sets told_after so that it may.

--- a/include/kelpdeal/config.h
+++ b/include/kelpdeal/config.h
@@ -44,6 +44,7 @@
   // coordinator's name; only with an operators' door.
   std::string handover;
   std::uint64_t seed = 0;
+  std::size_t sockets = 1024;  // descriptors that the platform allows (`limits.sockets`)
   cottonbay::Settings settings;
   NodeList known;
   Limits limits;
--- a/include/kelpdeal/discovery.h
+++ b/include/kelpdeal/discovery.h
@@ -24,7 +24,7 @@
   // Where lists are pushed, nobody subscribes: the list is kept up from here on, through every failure, the
   // whole of it first. Elsewhere nothing happens before subscribe().
   void start();
-  // One watch at a time: a further call changes nothing while it lives. It ends with a failure.
+  // One watch at a time, opened anew at the pace's word after each failure: a further call changes nothing.
   void subscribe() override;
   void fetch() override;
   // Goes on at another address: the whole list first, then a watch from it.
--- a/include/kelpdeal/discovery_pace.h
+++ b/include/kelpdeal/discovery_pace.h
@@ -7,6 +7,12 @@
 // fail. New watches are spread over a span in which those of all coordinators can be served; the list held
 // serves meanwhile. After a failure the span grows.
 //
+// What discovery has counts as told `told_after` after it could be reached, whatever became of our calls. So
+// a watch waits for a third of it at the most, and a pause after a call that never reached it, as while it is
+// down, leaves time for a further call and its answer. Calls that stood in its queue in vain cost it as much
+// as others: pauses after those grow until all callers together ask for half of what it can do, which stays
+// under `told_after` for some 40 callers. Beyond, nobody can be served sooner.
+//
 // Where lists are pushed, an agent on our own machine is asked instead. Its calls cost nobody anything, so no
 // pace is owed to it; but what it has counts as told to us, so no call, and no pause after one, may last
 // nearly as long as the grace after which a node that drains gets nothing new.
@@ -27,7 +33,9 @@
   Duration watch_wait = Milliseconds(1'500);   // of a watch for changes, at the least
   Duration watch_slack = Milliseconds(1'000);  // beyond the wait, until a call counts as failed
   Duration least_backoff = Milliseconds(250);
-  bool pushed = false;                       // settings: discovery is `automatic`
+  Duration told_after =
+      Milliseconds(6'000);  // the platform's: a change counts as told so long after it was there
+  bool pushed = false;      // settings: discovery is `automatic`
   Duration told_within = Milliseconds(500);  // where pushed; settings: guarantees.stopSendingWithinMs
 };
 
@@ -41,7 +49,7 @@
   void asked(TimePoint now) { asked_ = now; }
   // The watch goes on, at once; where lists are pushed after a short while, if the agent answers at once.
   void answered(TimePoint now);
-  // The next watch is a new one. Each failure in a row doubles the span it is drawn from, up to `ask_within`,
+  // The next watch is a new one. Each failure in a row doubles the span it is drawn from, up to most_pause(),
   // or a share of `told_within` where lists are pushed.
   void failed(TimePoint now);
 
@@ -49,6 +57,9 @@
   Duration wait() const;                    // how long a watch may wait for changes
   Duration slack() const;                   // beyond that, until it counts as failed
   Duration spread() const;                  // in which a new watch of each coordinator can be served
+  // From a failed call's end to the next call, at the most; `queued`: it stood in discovery's queue in vain,
+  // where one that was refused or never came up cost it nothing.
+  Duration most_pause(bool queued) const;
 
  private:
   double draw(double from, double to);
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -42,6 +42,9 @@
   std::size_t client_requests = 256;  // of them, those that have asked for something: idle ones over it close
   std::size_t node_connections = 384;
   int backlog = 511;
+  // Shares so many descriptors out: half to clients, so that however many they are, three eighths are left to
+  // record nodes and an eighth, eight at the least, to discovery, the listeners and the log.
+  void share_descriptors(std::size_t sockets);
 
   // Record nodes.
   std::size_t parts_per_connection = 32;      // settings: limits.multiplex
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 #include "kelpdeal/config.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -30,6 +32,14 @@
 
 }  // namespace
 
+void Limits::share_descriptors(std::size_t sockets) {
+  client_connections = sockets / 2;
+  // The platform gives clients a third of the descriptors for their requests. What is kept stays well under
+  // it.
+  client_requests = sockets / 4;
+  node_connections = sockets * 3 / 8;
+}
+
 cottonbay::Settings parse_settings(const json::Value& value) {
   const Fields f(value, "settings");
   cottonbay::Settings s;
@@ -161,12 +171,8 @@
   const double idle = s.at_least("limits.connIdleMs", 30'000, 1);
   // Guards against writing on a connection that the node is closing: ours closes well before.
   limits.node_idle = to_duration(FractionalMs(std::max(idle * 0.8, idle - 5'000)));
-  const auto sockets = static_cast<std::size_t>(f.integer("limits.sockets", 1024, 64));
-  limits.client_connections = sockets / 2;
-  // The platform gives clients a third of the descriptors for their requests. What is kept stays well under
-  // it.
-  limits.client_requests = sockets / 4;
-  limits.node_connections = sockets * 3 / 8;
+  config.sockets = static_cast<std::size_t>(f.integer("limits.sockets", 1024, 64));
+  limits.share_descriptors(config.sockets);
   return config;
 }
 
@@ -183,6 +189,11 @@
   const auto file = json::parse(read_file(path, "GW_CONFIG"), error);
   if (!file) throw ConfigError("GW_CONFIG: not JSON: " + error);
   Config config = parse_config(*file);
+  // Guards against a process that may hold fewer descriptors than the file says: clients would take what
+  // discovery and record nodes need.
+  rlimit allowed{};
+  if (::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur < config.sockets)
+    config.limits.share_descriptors(std::max<std::size_t>(allowed.rlim_cur, 64));
   const auto prefer = [&](const char* name, std::string& field) {
     if (std::string value = variable(name); !value.empty()) field = std::move(value);
     if (field.empty()) throw ConfigError(std::string(name) + ": is not set");
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -72,10 +72,11 @@
         anew_ = true;
         continue;
       }
-      watching_ = false;
+      // The module is told, and may subscribe again; when the next call leaves is the pace's to say, as what
+      // changes meanwhile counts as told whatever becomes of our calls.
       metrics_.log("discovery", "a watch failed");
       sink_.list_failed();
-      co_return;
+      continue;
     }
     pace_.answered(Clock::now());
     if (std::exchange(silent_, false)) metrics_.log("discovery", "the agent answers again");
--- a/src/discovery/pace.cpp
+++ b/src/discovery/pace.cpp
@@ -17,6 +17,12 @@
 constexpr double kPushedBackoff = 0.2;
 constexpr double kPushedGap = 0.1;
 
+// Of `told_after`: a watch's wait and the first pause after a failed call, at the most; the longest such
+// pause, of however small a fleet.
+constexpr double kToldWait = 1.0 / 3;
+constexpr double kToldFirst = 1.0 / 2;
+constexpr double kToldPause = 1.0 / 4;
+
 Duration scaled(Duration span, double by) { return to_duration(FractionalMs(span) * by); }
 
 }  // namespace
@@ -32,9 +38,21 @@
   return span <= bounds_.few ? Duration{} : span;
 }
 
+Duration DiscoveryPace::most_pause(bool queued) const {
+  const Duration least = scaled(bounds_.told_after, kToldPause);
+  // Calls that stood in its queue in vain: all of them together ask for half of what it can serve at most.
+  if (queued)
+    return std::min(std::max<Duration>(2 * bounds_.callers * bounds_.call, least), bounds_.ask_within);
+  // A call that hangs just as discovery can be reached again, the pause after it and the answer to the next
+  // one have to fit into `told_after`.
+  const Duration fits = std::max(bounds_.told_after - 2 * bounds_.watch_slack, least);
+  return std::min({std::max(spread(), least), fits, bounds_.ask_within});
+}
+
 // Discovery that vanishes gives no sign, so a watch is short; many short ones would be many calls.
 Duration DiscoveryPace::wait() const {
-  return bounds_.pushed ? scaled(bounds_.told_within, kPushedWait) : std::max(bounds_.watch_wait, spread());
+  if (bounds_.pushed) return scaled(bounds_.told_within, kPushedWait);
+  return std::min(std::max(bounds_.watch_wait, spread()), scaled(bounds_.told_after, kToldWait));
 }
 
 Duration DiscoveryPace::slack() const {
@@ -52,9 +70,12 @@
 }
 
 void DiscoveryPace::failed(TimePoint now) {
+  const bool queued = now - asked_ >= bounds_.watch_slack / 2;
+  // The first pause comes on top of a silent watch's wait and slack.
+  const Duration first = std::min(spread(), scaled(bounds_.told_after, kToldFirst));
   const Duration least =
-      bounds_.pushed ? scaled(bounds_.told_within, kPushedGap) : std::max(bounds_.least_backoff, spread());
-  const Duration most = bounds_.pushed ? scaled(bounds_.told_within, kPushedBackoff) : bounds_.ask_within;
+      bounds_.pushed ? scaled(bounds_.told_within, kPushedGap) : std::max(bounds_.least_backoff, first);
+  const Duration most = bounds_.pushed ? scaled(bounds_.told_within, kPushedBackoff) : most_pause(queued);
   backoff_ = std::min(std::max(2 * backoff_, least), most);
   next_ = now + scaled(backoff_, draw(kLeast, 1));
 }
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -379,5 +379,89 @@
   for (const std::string& id : node.read()) EXPECT_NE(id, "q5");
 }
 
+// ---- the node list ----
+// Discovery is down for long, and refuses each call or says nothing. What it has at its return counts as told
+// `told_after` later, whatever became of our calls: by then it has been heard, and nothing new goes to a node
+// that drains.
+TEST(Endings, WhatDiscoveryHasAtItsReturnIsHeardInTimeHoweverManyCallsHaveFailed) {
+  for (const bool refuses : {true, false}) {
+    Options options;
+    options.watch_wait_ms = 100;
+    options.adjust = [](Limits& limits) {
+      limits.pace.told_after = 800ms;
+      limits.pace.watch_slack = 100ms;
+      limits.pace.least_backoff = 10ms;
+      limits.pace.ask_within = 60s;
+    };
+    World world(options);
+    (refuses ? world.discovery->failing : world.discovery->silent) = true;
+    world.start();
+    until(world, [&] { return world.discovery->called.size() >= (refuses ? 12u : 6u); });
+    world.discovery->set("n0", world.nodes[0]->address(), 0, "terminating");
+    world.discovery->failing = world.discovery->silent = false;
+    const TimePoint back = Clock::now();
+    until(world, [&] { return world.gateway->metrics().value("discovery.answers") > 0; });
+    EXPECT_LE(Clock::now() - back, 800ms) << refuses;
+    world.run([&]() -> Task<void> {
+      co_await world.pause(20ms);  // the module's turn
+      const std::size_t before = world.nodes[0]->seen.size();
+      for (int i = 0; i < 8; ++i) co_await world.ask("equipment-search", "0,2", 1s);
+      EXPECT_EQ(world.nodes[0]->seen.size(), before);
+    }());
+  }
+}
+
+// ---- descriptors, and starts ----
+// Idle clients take all that they can get while discovery says nothing, and the process may hold fewer
+// descriptors than the configuration says. What discovery and record nodes need is kept back for them.
+TEST(Endings, IdleClientsLeaveDescriptorsToDiscoveryAndRecordNodes) {
+  World world({});
+  world.discovery->silent = true;
+  Program program(world, world.config_text(), "127.0.0.1:0", {"-c", "ulimit -n 96 && exec " KELPDEAL_PROGRAM},
+                  {}, -1, "/bin/sh");
+  const std::string address = program.address();
+  std::vector<std::unique_ptr<Peer>> idle;
+  for (int i = 0; i < 200; ++i) {
+    idle.push_back(std::make_unique<Peer>(address));
+    if (i % 2) idle.back()->write("GET /-/healthy HTTP/1.1\r\n\r\n");
+  }
+  until(world, [&] { return world.discovery->called.size() >= 2; });  // asked again over a new connection
+  world.discovery->silent = false;
+  world.discovery->set("n0", world.nodes[0]->address(), 0, "terminating");
+  const std::size_t before = world.discovery->called.size();
+  until(world, [&] { return world.discovery->called.size() >= before + 2; });  // it goes on after an answer
+  world.run([&]() -> Task<void> {
+    for (int i = 0; i < 4; ++i) {
+      const http::Response response =
+          co_await world.send(address, world.request("equipment-search", "0,1,2,3", 1s, ""));
+      EXPECT_EQ(response.status, 200);
+    }
+  }());
+  EXPECT_EQ(world.nodes[0]->seen.size(), 0u);
+  EXPECT_TRUE(program.running());
+}
+
+// Many restarted at once, whatever discovery does: nine in ten have to be ready within 10 s.
+TEST(Endings, RestartedProcessesAreReadyWhateverDiscoveryDoes) {
+  for (const int way : {0, 1, 2}) {
+    World world({});
+    world.discovery->failing = way == 1;
+    world.discovery->silent = way == 2;
+    std::vector<std::unique_ptr<Program>> programs;
+    const TimePoint began = Clock::now();
+    for (int i = 0; i < 10; ++i)
+      programs.push_back(std::make_unique<Program>(world, world.config_text(), "127.0.0.1:0"));
+    int ready = 0;
+    world.run([&]() -> Task<void> {
+      for (const auto& program : programs) {
+        const std::string address = program->address();
+        if ((co_await world.send(address, get("/-/ready"))).status == 200) ++ready;
+      }
+    }());
+    EXPECT_GE(ready, 9) << way;
+    EXPECT_LT(Clock::now() - began, 10s) << way;
+  }
+}
+
 }  // namespace
 }  // namespace kelpdeal::test
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -150,7 +150,9 @@
 }
 
 TEST(Discovery, AWatchIsNotRepeatedWhileNothingChanges) {
-  World world({});
+  Options options;
+  options.adjust = [](Limits& limits) { limits.pace.told_after = 60s; };  // of which a watch may wait a third
+  World world(options);
   world.start();
   world.run([&]() -> Task<void> {
     co_await world.pause(2300ms);  // past askEveryMs, after which an instance without a watch has to ask
@@ -227,8 +229,8 @@
   }
 }
 
-// Danger: without a door there is no path to hand over at, and `path + ".new"` is a file in whatever folder the
-// program was started from.
+// Danger: without a door there is no path to hand over at, and `path + ".new"` is a file in whatever folder
+// the program was started from.
 TEST(ByHand, WithoutADoorACallLeavesNoFileBehind) {
   std::remove(".new");
   World world({});
