Begin nothing late: past a window, at a node that drains, on a connection just closed

Need: no resend outside what a keyed class allows, nothing new to a node past its grace, nobody blamed for a close at the wrong instant.

Causes, by reading what may wait between a choice and its write: - FrameTransport and OpenSearchTransport wrote a call as soon as its connection was up or its turn came, however late: a repeat chosen 10 ms before its window's end could leave 250 ms after it, and the node takes it for a new one. - A part that waited so at a node that was told to drain meanwhile was still written there. - A resting connection that its node closes as a call is about to be written on it: the call was written into the close and counted as reset (it may have run), or failed as connect_failed, which makes a suspect of a sound node.

Change: Attempt::begin_by, from the first attempt that may have run and the class's window (Driver::begin_by); past it an attempt ends as moot. Driver::take_back_from for nodes that drain, leave or are out by hand. A call of which nothing has left moves once to another connection if its own was closed by the node at rest. drain_most from the longest deadline.

--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -60,6 +60,9 @@
   // The second step of a query: which shards were in after the first, and whether that one was whole.
   bool second = false, first_whole = false;
   std::vector<int> from;
+  // Not to be begun later: a repeat within a keyed class's window that waits for its connection past the
+  // window's end would run a second time.
+  TimePoint begin_by = kNever;
 };
 
 struct AttemptResult {
--- a/include/kelpdeal/frame_transport.h
+++ b/include/kelpdeal/frame_transport.h
@@ -41,6 +41,7 @@
   };
   Task<void> run(LinkPtr link);
   Task<void> write(LinkPtr link);
+  void send(NodeId node, std::vector<Attempt> call, bool moved);
   void read_frame(Link& link, const frames::Frame& frame);
   void spoilt(Link& link, const std::string& what);
   void end(const LinkPtr& link);
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -87,7 +87,7 @@
   Duration drain_accept = Milliseconds(550);
   Duration drain_serve = Milliseconds(1'100);  // settings: one longest aim before the end
   Duration drain_end = Milliseconds(3'600);    // settings: the longest deadline, 3 s at most, and 0.6 s
-  Duration drain_most = Milliseconds(10'000);
+  Duration drain_most = Milliseconds(10'000);  // settings: no sooner than the longest deadline and 1 s
 
   // The operators' door: callers at once (beyond, the oldest goes), a call's line, and how long a caller has
   // to finish its line and to take the answer. After LEAVE, kept client connections close from `leave_close`
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -258,6 +258,7 @@
           send->attempt, request.id,        request.class_name, request.key,        request.text, 0,
           send->until,   request.operation, plan.later(),       plan.first_whole(), plan.from()};
       attempt.shard = parts[send->part].shard;
+      attempt.begin_by = send->begin_by;
       if (const auto& text = parts[send->part].text) attempt.text = *text;
       driver_->dispatch(send->node, std::move(attempt));
 
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -90,7 +90,13 @@
   e.expires_ms = to_ms(request.expires);
   e.repeat = request.repeat;
   e.parts = static_cast<int>(request.parts.size());
-  queries_[e.id] = {&choices, request.expires, 0, {}, request.sink};
+  QueryRecord& record = queries_[e.id];
+  record.choices = &choices;
+  record.expires = request.expires;
+  record.sink = request.sink;
+  for (const cottonbay::ClassSettings& cls : settings_.classes)
+    if (cls.name == request.class_name && cls.effect == cottonbay::Effect::keyed)
+      record.window = to_duration(FractionalMs(cls.window_ms));
   const RequestId id = e.id;
   tell(std::move(e));
   parts_arrived(id, request.parts, choices);
@@ -168,7 +174,23 @@
     if (forgotten && transport_) transport_->left(entry.second.id);
     return forgotten;
   });
+  std::vector<NodeId> ending;
+  for (const auto& [uid, record] : nodes_)
+    if (record.left != kNever || entry_of(record).state != cottonbay::ServerState::serving)
+      ending.push_back(record.id);
   tell(std::move(e));
+  for (const NodeId id : ending) take_back_from(id);
+}
+
+// Guards against what was chosen for a node before it was known to drain, and waits for its turn or its
+// connection: it would begin there later, perhaps past the grace.
+void Driver::take_back_from(NodeId node) {
+  std::vector<AttemptId> waiting;
+  for (const auto& [id, record] : attempts_)
+    if (record.node == node) waiting.push_back(id);
+  std::sort(waiting.begin(), waiting.end());
+  for (const AttemptId id : waiting)
+    if (!attempts_[id].sent_on || transport_->take_back(id)) end_attempt(id, {});
 }
 
 cottonbay::ServerEntry Driver::entry_of(const NodeRecord& record) const {
@@ -196,6 +218,8 @@
   e.kind = cottonbay::ListKind::changes;
   for (const NodeRecord* record : changed) e.servers.push_back(entry_of(*record));
   tell(std::move(e));
+  for (const NodeRecord* record : changed)
+    if (out.count(record->entry.uid) > 0) take_back_from(record->id);
 }
 
 std::vector<NodeEntry> Driver::nodes() const {
@@ -239,6 +263,9 @@
     }
   }
   metrics_.count(name_of(result.outcome));
+  const bool may_have_run = result.outcome != Outcome::connect_failed && result.outcome != Outcome::full &&
+                            result.outcome != Outcome::moot;
+  if (part != parts_.end() && may_have_run) part->second.ran_at = std::min(part->second.ran_at, record.sent);
   const bool over = part == parts_.end() || part->second.in || result.outcome == Outcome::ok;
   tell(cottonbay::AttemptEnded{record.part, record.number, record.node, result.outcome,
                                FractionalMs(Clock::now() - record.sent).count(), over, result.load});
@@ -378,7 +405,18 @@
     result.outcome = Outcome::timeout;
     end_attempt(id, result);
   });
-  choose(part->second.query, SendChosen{part->second.step, part->second.place, action.server, id, until});
+  choose(part->second.query, SendChosen{part->second.step, part->second.place, action.server, id, until,
+                                        begin_by(part->second, query->second)});
+}
+
+// The window counts from the first attempt that may have run, one that is still out among them.
+TimePoint Driver::begin_by(const PartRecord& part, const QueryRecord& query) const {
+  if (query.window == Duration::max()) return kNever;
+  TimePoint first = part.ran_at;
+  for (const AttemptId id : part.attempts)
+    if (const auto out = attempts_.find(id); out != attempts_.end() && id != part.attempts.back())
+      first = std::min(first, out->second.sent);
+  return first == kNever ? kNever : first + query.window;
 }
 
 void Driver::act(const cottonbay::Cancel& action) {
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -20,7 +20,7 @@
   std::size_t part = 0;  // its place in the present step
   NodeId node = 0;
   AttemptId attempt = 0;
-  TimePoint until;
+  TimePoint until, begin_by = kNever;
 };
 struct AnswerChosen {
   bool whole = false;
@@ -74,7 +74,8 @@
     int step = 0;
     std::vector<RequestId> parts;
     PartSink* sink = nullptr;
-    TimePoint second_begun{};  // when the first call of its second step left
+    Duration window = Duration::max();  // of a keyed class, in which a part that may have run may be repeated
+    TimePoint second_begun{};           // when the first call of its second step left
   };
   struct PartRecord {
     RequestId query = 0;
@@ -83,6 +84,7 @@
     std::size_t place = 0;
     std::vector<AttemptId> attempts;
     bool in = false;
+    TimePoint ran_at = kNever;  // when the first attempt left that has ended and may have run
   };
   struct AttemptRecord {
     RequestId part = 0;
@@ -101,6 +103,8 @@
   void leave(NodeId node, std::vector<Attempt> call);
   void end_attempt(AttemptId id, AttemptResult result);
   void forget_parts(QueryRecord& record);
+  TimePoint begin_by(const PartRecord& part, const QueryRecord& query) const;
+  void take_back_from(NodeId node);
   void act(const cottonbay::Send& action);
   void act(const cottonbay::Cancel& action);
   void act(const cottonbay::Answer& action);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -158,6 +158,9 @@
   }
   limits.drain_end = to_duration(FractionalMs(std::min(longest, 3'000.0))) + Milliseconds(600);
   limits.drain_serve = std::max(limits.drain_accept, limits.drain_end - to_duration(FractionalMs(aim)));
+  // Guards against an end of our own, before the platform's, that finds a long request without its answer.
+  limits.drain_most =
+      std::max<Duration>(limits.drain_most, to_duration(FractionalMs(longest)) + Milliseconds(1'000));
   limits.frame_time = limits.connects.within;
   limits.pace.callers = config.settings.mixers;
   if (config.settings.ask_within_ms > 0)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -261,6 +261,7 @@
 std::string Gateway::operate(std::string_view line) { return parts_->call(line); }
 
 void Gateway::drain() {
+  if (parts_->stopping) return;  // told twice: the time that it has runs from the first word
   parts_->metrics.log("drain", "SIGTERM: finishing what was taken");
   parts_->stopping = true;
   if (parts_->fleet) parts_->fleet->leave();
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -53,6 +53,7 @@
     char letter = frames::kCall;
     std::vector<Attempt> call;  // of a call
     std::string id;             // of a part given up
+    bool moved = false;         // from a connection that the node closed
   };
   struct Out {
     AttemptId attempt = 0;
@@ -78,6 +79,7 @@
   std::optional<TimePoint> begun;  // when the frame that is not whole yet began
   TimePoint heard{}, used = Clock::now();
   bool up = false, ended = false, retired = false;
+  bool closed_by_node = false;              // as nothing was out on it
   Outcome never = Outcome::connect_failed;  // what has not left on it ends as
 
   std::size_t load() const {
@@ -151,7 +153,9 @@
   return oldest != nullptr;
 }
 
-void FrameTransport::send(NodeId node, std::vector<Attempt> call) {
+void FrameTransport::send(NodeId node, std::vector<Attempt> call) { send(node, std::move(call), false); }
+
+void FrameTransport::send(NodeId node, std::vector<Attempt> call, bool moved) {
   const LinkPtr link = pick(node, call.size());
   if (!link) {
     AttemptResult result;
@@ -164,7 +168,7 @@
   }
   for (const Attempt& attempt : call) where_[attempt.id] = link;
   link->used = Clock::now();
-  link->queue.push_back({frames::kCall, std::move(call), {}});
+  link->queue.push_back({frames::kCall, std::move(call), {}, moved});
   link->wanted.wake();
 }
 
@@ -182,7 +186,7 @@
   // Guards against a machine that vanished: its connections stay open and silent for ever. One that has
   // brought nothing since a part was written on it gets no further parts.
   if (why == Why::timed_out && link->heard < out->second.written) link->retired = true;
-  link->queue.push_back({frames::kGiveUp, {}, out->first});
+  link->queue.push_back({frames::kGiveUp, {}, out->first, false});
   link->past.add(out->first);
   link->out.erase(out);
   link->wanted.wake();
@@ -204,7 +208,7 @@
   const LinkPtr link = pick(node, 0);
   if (!link) return sink_.probe_ended(node, Outcome::connect_failed, {}, {});
   link->probes.push_back(Clock::now());
-  link->queue.push_back({frames::kProbe, {}, {}});
+  link->queue.push_back({frames::kProbe, {}, {}, false});
   link->wanted.wake();
 }
 
@@ -248,6 +252,8 @@
         if (link->idle() && Clock::now() - link->used >= limits_.node_idle) break;
         continue;
       }
+      if (got.io == Io::ended || got.io == Io::broken)
+        link->closed_by_node |= link->out.empty() && link->writing.empty();
       if (got.io != Io::ok) break;
       link->heard = link->used = Clock::now();
       link->reader.feed({chunk_.data(), got.bytes});
@@ -286,8 +292,14 @@
   AttemptResult never, maybe;
   never.outcome = link->never;  // a frame whose last byte was not written has not run
   maybe.outcome = Outcome::reset;
-  for (const Link::Item& item : std::exchange(link->queue, {}))
-    for (const Attempt& attempt : item.call) finish(*link, attempt.id, never);
+  for (Link::Item& item : std::exchange(link->queue, {})) {
+    // Guards against a verdict on a node for a resting connection that it closed as a call came for it:
+    // nothing of that call has left, and it goes out on another connection, once.
+    if (link->closed_by_node && !item.moved && !item.call.empty())
+      send(link->node, std::move(item.call), true);
+    else
+      for (const Attempt& attempt : item.call) finish(*link, attempt.id, never);
+  }
   for (const AttemptId attempt : std::exchange(link->writing, {})) finish(*link, attempt, never);
   for (const auto& [id, out] : std::exchange(link->out, {})) finish(*link, out.attempt, maybe);
   for (const TimePoint since : std::exchange(link->probes, {}))
@@ -301,13 +313,23 @@
       co_await link->wanted.park();
       continue;
     }
+    if (link->out.empty() && link->stream->peer_closed()) {
+      link->closed_by_node = true;
+      break;
+    }
     Link::Item item = std::move(link->queue.front());
     link->queue.pop_front();
     std::string bytes;
+    TimePoint write_by = Clock::now() + limits_.frame_time;
     std::vector<std::pair<std::string, AttemptId>> parts;
     if (item.letter == frames::kCall) {
       std::vector<frames::CallPart> call;
       for (const Attempt& attempt : item.call) {
+        if (attempt.begin_by <= Clock::now()) {
+          finish(*link, attempt.id, {});
+          continue;
+        }
+        write_by = std::min(write_by, attempt.begin_by);
         call.push_back({wire_id(attempt), attempt.shard, wire_list(attempt, Clock::now()), attempt.text});
         parts.emplace_back(call.back().id, attempt.id);
         link->writing.push_back(attempt.id);
@@ -319,7 +341,7 @@
     }
     // Guards against a machine that takes nothing more: what cannot be written has not run, and can go
     // elsewhere.
-    const IoResult put = co_await link->stream->write_all(bytes, Clock::now() + limits_.frame_time);
+    const IoResult put = co_await link->stream->write_all(bytes, write_by);
     link->used = Clock::now();
     if (put.io != Io::ok) break;
     link->writing.clear();
@@ -327,7 +349,7 @@
       if (where_.contains(attempt))
         link->out[id] = {attempt, Clock::now()};
       else  // given up while it was being written
-        link->queue.push_back({frames::kGiveUp, {}, id});
+        link->queue.push_back({frames::kGiveUp, {}, id, false});
     }
   }
   link->cancel();
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -351,6 +351,11 @@
   Outcome failed = Outcome::connect_failed;
   std::unique_ptr<Stream> opened = co_await open(call->node, failed);
   call->stream = std::move(opened);
+  for (const Attempt& part : std::vector<Attempt>(call->parts))
+    if (part.begin_by <= Clock::now()) {
+      give_up(part.id, Why::cancelled);
+      sink_.attempt_ended(part.id, {});
+    }
   if (!call->stream || call->ended) {
     finish(*call, failed);
   } else {
--- a/tests/deployment_test.cpp
+++ b/tests/deployment_test.cpp
@@ -115,6 +115,7 @@
     ASSERT_NE(text.find(from), std::string::npos) << from;
     text.replace(text.find(from), from.size(), to);
   };
+  replace("\"deadlineMs\":1200", "\"deadlineMs\":40000");
   replace("\"connIdleMs\":30000", "\"connIdleMs\":15000");
   replace("\"multiplex\":32", "\"multiplex\":100");
   replace("\"sendCap\":4", "\"sendCap\":3");
@@ -125,6 +126,7 @@
   EXPECT_TRUE(config.limits.pace.pushed);
   EXPECT_EQ(config.limits.pace.told_within, 500ms);
   EXPECT_LT(config.limits.node_idle, 15s);
+  EXPECT_EQ(config.limits.drain_most, 41s);  // no drain ends by itself before the longest request
   EXPECT_EQ(config.limits.parts_per_connection, 100u);
   EXPECT_EQ(config.limits.parts_per_call, 1u);
   EXPECT_EQ(config.settings.max_attempts, 3);
--- a/tests/program.h
+++ b/tests/program.h
@@ -109,6 +109,24 @@
   std::string path_;
 };
 
+// A listening socket of the test's, as the platform holds one at an upgrade.
+inline Descriptor listening_socket() {
+  Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  EXPECT_EQ(::bind(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+  EXPECT_EQ(::listen(socket.get(), 64), 0);
+  return socket;
+}
+
+inline std::string local_address(int fd) {
+  Address address;
+  socklen_t size = sizeof address.raw;
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address.raw), &size);
+  return address.text();
+}
+
 inline http::Request get(const char* target) {
   http::Request request;
   request.method = "GET";
