Let what is saved up for a cold server expire by how many a span brings parts to

Cause: may_warm let a saved part expire as if all mixers came with parts for the same node in one span. With 300 it stood open for a fortieth of the time, so cold nodes stayed idle.

Change: the slack is shared by those mixers that a span brings parts to, at the multiple that the rule allows (mine over what is charged for it), not by all.

--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -806,13 +806,14 @@
   // Danger: a cold server is pushed over by all mixers together. Each ramps by its share of the fleet's work:
   // what an average server answers it at best, times the allowed multiple and the least share of capacity of
   // now. One part saved up by each of many is too much at once: what is not used while the slack of all (a
-  // share of N, 2 x root of N and 2) bears it expires. One part each gets through.
+  // share of N, 2 x root of N and 2) bears it expires, sooner where a span brings parts to more.
   bool may_warm(Server& server) {
     const double share = cold_share(server), mixers = std::max(2, s_.mixers);
     if (share >= 1) return true;
     const double ramp = kColdSafety * s_.tip_multiple * share * peak() / std::max(usable_, 1.0);
     const double mine = std::max(ramp * s_.tip_after_ms, 1 / mixers), all = mine * mixers / kColdSafety;
-    const double held = ((1 - kColdSafety) * all + 2 * std::sqrt(all) + 2) / mixers;
+    const double many = mixers * std::min(1.0, mine / (kColdSafety * share));
+    const double held = ((1 - kColdSafety) * all + 2 * std::sqrt(all) + 2) / many;
     server.tokens += mine * (now_ - server.tokens_at) / s_.tip_after_ms;
     server.tokens_at = now_;
     const double most = held < kSideBySide ? 1 + held : std::max(1.0, mine / 2), past = server.tokens - most;
