--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -794,7 +794,7 @@
     if (server.heard) heard_sum_ -= server.latency, --heard_n_;
     server.cold_since = since;
     server.heard = false;
-    server.tokens = 1 - kSideBySide * uniform(), server.tokens_at = now_;
+    server.tokens = uniform(), server.tokens_at = now_;
   }
 
   double cold_share(const Server& server) const {
@@ -803,21 +803,19 @@
     return s_.cold_from + (1 - s_.cold_from) * std::max(age, 0.0) / s_.cold_ms;
   }
 
-  // Danger: a cold server is pushed over by all mixers together. Each ramps by its share of the fleet's work:
-  // what an average server answers it at best, times the allowed multiple and the least share of capacity of
-  // now. One part saved up by each of many is too much at once: what is not used while the slack of all (a
-  // share of N, 2 x root of N and 2) bears it expires, sooner where a span brings parts to more.
+  // Danger: a cold server is pushed over by all mixers together. Each keeps to its own part: what an
+  // average server answers it at best, times the allowed multiple and the least share of capacity that
+  // the server can have by now. If all do so the sum stays allowed whatever their shares of the traffic
+  // are, as no server answers more than its capacity. The floor lets one part through per mixer.
   bool may_warm(Server& server) {
-    const double share = cold_share(server), mixers = std::max(2, s_.mixers);
+    const double share = cold_share(server);
     if (share >= 1) return true;
-    const double ramp = kColdSafety * s_.tip_multiple * share * peak() / std::max(usable_, 1.0);
-    const double mine = std::max(ramp * s_.tip_after_ms, 1 / mixers), all = mine * mixers / kColdSafety;
-    const double many = mixers * std::min(1.0, mine / (kColdSafety * share));
-    const double held = ((1 - kColdSafety) * all + 2 * std::sqrt(all) + 2) / many;
-    server.tokens += mine * (now_ - server.tokens_at) / s_.tip_after_ms;
+    const double floor = 1 / (s_.tip_after_ms * std::max(2, s_.mixers));
+    const double rate =
+        std::max(kColdSafety * s_.tip_multiple * share * peak() / std::max(usable_, 1.0), floor);
+    const double most = std::max(1.0, rate * s_.tip_after_ms / 2);
+    server.tokens = std::min(most, server.tokens + rate * (now_ - server.tokens_at));
     server.tokens_at = now_;
-    const double most = held < kSideBySide ? 1 + held : std::max(1.0, mine / 2), past = server.tokens - most;
-    if (past > 0) server.tokens -= held < kSideBySide ? kSideBySide * std::ceil(past / kSideBySide) : past;
     return server.tokens >= (joins(server, kSideBySide) ? 0 : 1);  // parts of a call are not torn apart
   }
 
@@ -948,12 +946,14 @@
     q.timer = at;
     timer(at - now_, std::to_string(q.id));
   }
-  static auto* entry(auto& map, auto id) {
-    const auto it = map.find(id);
-    return it == map.end() ? nullptr : &it->second;
+  Query* find(RequestId id) {
+    const auto it = queries_.find(id);
+    return it == queries_.end() ? nullptr : &it->second;
+  }
+  Server* find_server(ServerId id) {
+    const auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
   }
-  Query* find(RequestId id) { return entry(queries_, id); }
-  Server* find_server(ServerId id) { return entry(servers_, id); }
   std::pair<Query*, Part*> find_part(RequestId id) {
     const auto it = part_of_.find(id);
     if (it == part_of_.end()) return {nullptr, nullptr};
