Read-through: one way to take back, one pass, no copies of texts, state that is derived

Behaviour stays as it is. Driver::forget and take_back_from had the same check side by side: take_back() serves both, and the attempts are walked once for all ending nodes. query_arrived looked its class up again, which serve() has in hand. OpenSearchTransport::run copied every part's text for each call to look at one time. DiscoveryClient::watching_ was turn_ != 0. Fleet::note() in place of three bare writes beside event(). Links::listen_to looked its link up for each message.

--- a/include/kelpdeal/discovery.h
+++ b/include/kelpdeal/discovery.h
@@ -48,9 +48,8 @@
   std::vector<std::weak_ptr<Stream>> calls_;  // connections with a call on them
   bool anew_ = false;                         // the whole list comes first: of a new address, of an agent
   std::uint64_t version_ = 0;
-  std::uint64_t turn_ = 0;  // the watch that counts; older ones end
-  bool watching_ = false;
-  bool silent_ = false;  // the agent's last call failed
+  std::uint64_t turn_ = 0;  // the watch that counts, 0 before the first; older ones end
+  bool silent_ = false;     // the agent's last call failed
 };
 
 }  // namespace kelpdeal
--- a/include/kelpdeal/fleet/fleet.h
+++ b/include/kelpdeal/fleet/fleet.h
@@ -97,6 +97,8 @@
   // A line in both logs; the structured one has the fields besides.
   void event(std::string_view kind, std::string_view event, const std::string& text,
              std::initializer_list<EventLog::Field> fields);
+  // One in the structured log alone.
+  void note(std::string_view event, std::initializer_list<EventLog::Field> fields);
   void reincarnate(std::uint64_t incarnation);
   std::unique_ptr<Member> make_member(std::uint64_t incarnation, const Member::Kept& kept);
 
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -213,7 +213,7 @@
                          Clock::now(), request.expires);
   plan.begin(reply.asked, Clock::now());
   Choices choices(scheduler_);
-  const RequestId query = driver_->query_arrived(request, choices);
+  const RequestId query = driver_->query_arrived(request, *cls, choices);
   Registered registered(*driver_, caller, query);
   caller.on_leave = [&choices] { choices.put(ClientLeft{}); };
   const auto answered = [&](bool whole) {
--- a/src/broker/driver.cpp
+++ b/src/broker/driver.cpp
@@ -80,7 +80,8 @@
   pending_.wake();
 }
 
-RequestId Driver::query_arrived(const QueryRequest& request, Choices& choices) {
+RequestId Driver::query_arrived(const QueryRequest& request, const cottonbay::ClassSettings& cls,
+                                Choices& choices) {
   cottonbay::QueryArrived e;
   e.id = ++next_id_;
   e.number = e.id;
@@ -94,9 +95,7 @@
   record.choices = &choices;
   record.expires = request.expires;
   record.sink = request.sink;
-  for (const cottonbay::ClassSettings& cls : settings_.classes)
-    if (cls.name == request.class_name && cls.effect == cottonbay::Effect::keyed)
-      record.window = to_duration(FractionalMs(cls.window_ms));
+  if (cls.effect == cottonbay::Effect::keyed) record.window = to_duration(FractionalMs(cls.window_ms));
   const RequestId id = e.id;
   tell(std::move(e));
   parts_arrived(id, request.parts, choices);
@@ -141,10 +140,7 @@
   // that waits for its turn, its connection or the other parts of its call is taken back and never sent.
   for (const RequestId id : it->second.parts)
     if (const auto part = parts_.find(id); part != parts_.end())
-      for (const AttemptId attempt : part->second.attempts)
-        if (const auto out = attempts_.find(attempt);
-            out != attempts_.end() && (!out->second.sent_on || transport_->take_back(attempt)))
-          end_attempt(attempt, {});
+      for (const AttemptId attempt : part->second.attempts) take_back(attempt);
 }
 
 void Driver::listed(const NodeList& list, cottonbay::ListKind kind) {
@@ -174,23 +170,27 @@
     if (forgotten && transport_) transport_->left(entry.second.id);
     return forgotten;
   });
-  std::vector<NodeId> ending;
+  std::set<NodeId> ending;
   for (const auto& [uid, record] : nodes_)
     if (record.left != kNever || entry_of(record).state != cottonbay::ServerState::serving)
-      ending.push_back(record.id);
+      ending.insert(record.id);
   tell(std::move(e));
-  for (const NodeId id : ending) take_back_from(id);
+  take_back_from(ending);
 }
 
 // Guards against what was chosen for a node before it was known to drain, and waits for its turn or its
 // connection: it would begin there later, perhaps past the grace.
-void Driver::take_back_from(NodeId node) {
-  std::vector<AttemptId> waiting;
+void Driver::take_back_from(const std::set<NodeId>& nodes) {
+  std::set<AttemptId> there;  // in the order chosen
   for (const auto& [id, record] : attempts_)
-    if (record.node == node) waiting.push_back(id);
-  std::sort(waiting.begin(), waiting.end());
-  for (const AttemptId id : waiting)
-    if (!attempts_[id].sent_on || transport_->take_back(id)) end_attempt(id, {});
+    if (nodes.contains(record.node)) there.insert(id);
+  for (const AttemptId id : there) take_back(id);
+}
+
+// Ends an attempt of which nothing has left as never sent; any other goes on.
+void Driver::take_back(AttemptId id) {
+  const auto it = attempts_.find(id);
+  if (it != attempts_.end() && (!it->second.sent_on || transport_->take_back(id))) end_attempt(id, {});
 }
 
 cottonbay::ServerEntry Driver::entry_of(const NodeRecord& record) const {
@@ -218,8 +218,10 @@
   e.kind = cottonbay::ListKind::changes;
   for (const NodeRecord* record : changed) e.servers.push_back(entry_of(*record));
   tell(std::move(e));
+  std::set<NodeId> ending;
   for (const NodeRecord* record : changed)
-    if (out.count(record->entry.uid) > 0) take_back_from(record->id);
+    if (out.count(record->entry.uid) > 0) ending.insert(record->id);
+  take_back_from(ending);
 }
 
 std::vector<NodeEntry> Driver::nodes() const {
--- a/src/broker/driver.h
+++ b/src/broker/driver.h
@@ -48,7 +48,7 @@
   void start(NodeTransport& transport, Directory& directory, const NodeList& known);
 
   // A query and the parts of its step. The choices about them go to `choices` until forget().
-  RequestId query_arrived(const QueryRequest& request, Choices& choices);
+  RequestId query_arrived(const QueryRequest& request, const cottonbay::ClassSettings& cls, Choices& choices);
   void parts_arrived(RequestId query, const std::vector<PartRequest>& parts, Choices& choices);
   void withdraw(RequestId query);
   void forget(RequestId query);
@@ -104,7 +104,8 @@
   void end_attempt(AttemptId id, AttemptResult result);
   void forget_parts(QueryRecord& record);
   TimePoint begin_by(const PartRecord& part, const QueryRecord& query) const;
-  void take_back_from(NodeId node);
+  void take_back_from(const std::set<NodeId>& nodes);
+  void take_back(AttemptId id);
   void act(const cottonbay::Send& action);
   void act(const cottonbay::Cancel& action);
   void act(const cottonbay::Answer& action);
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -22,13 +22,10 @@
 }
 
 void DiscoveryClient::subscribe() {
-  if (!watching_) begin();
+  if (turn_ == 0) begin();
 }
 
-void DiscoveryClient::begin() {
-  watching_ = true;
-  scheduler_.spawn(watch(++turn_));
-}
+void DiscoveryClient::begin() { scheduler_.spawn(watch(++turn_)); }
 
 void DiscoveryClient::fetch() { scheduler_.spawn(fetch_once()); }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -82,9 +82,8 @@
   admin_ = std::make_unique<AdminServer>(scheduler, file_.admin, limits, metrics,
                                          [this](std::string line) { return call(std::move(line)); });
   deliver(member_->start(Clock::now()));
-  if (events_)
-    events_->write("start", {{"incarnation", static_cast<std::int64_t>(incarnation)},
-                             {"entries", static_cast<std::int64_t>(member_->copy().size())}});
+  note("start", {{"incarnation", static_cast<std::int64_t>(incarnation)},
+                 {"entries", static_cast<std::int64_t>(member_->copy().size())}});
   look();
   beat();
 }
@@ -92,6 +91,10 @@
 void Fleet::event(std::string_view kind, std::string_view event, const std::string& text,
                   std::initializer_list<EventLog::Field> fields) {
   metrics_.log(kind, text);
+  note(event, fields);
+}
+
+void Fleet::note(std::string_view event, std::initializer_list<EventLog::Field> fields) {
   if (events_) events_->write(event, fields);
 }
 
@@ -168,8 +171,7 @@
 }
 
 void Fleet::link_changed(const std::string& peer, std::uint64_t life, bool up) {
-  if (events_)
-    events_->write("link", {{"peer", peer}, {"up", up}, {"incarnation", static_cast<std::int64_t>(life)}});
+  note("link", {{"peer", peer}, {"up", up}, {"incarnation", static_cast<std::int64_t>(life)}});
 }
 
 void Fleet::outlived(std::uint64_t life) {
@@ -599,11 +601,10 @@
   if (!out && !member_->ready(Clock::now()) && !held_out_.contains(call->node))
     co_return operations::failure("not ready: takes what the fleet holds");
   Word word = out ? member_->offline(call->node, listed) : member_->online(call->node, listed);
-  if (events_)
-    events_->write("call", {{"call", std::string(out ? "OFFLINE" : "ONLINE")},
-                            {"node", call->node},
-                            {"success", word.success},
-                            {"text", word.text}});
+  note("call", {{"call", std::string(out ? "OFFLINE" : "ONLINE")},
+                {"node", call->node},
+                {"success", word.success},
+                {"text", word.text}});
   co_return co_await said(std::move(word), deadline);
 }
 
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -351,11 +351,13 @@
   Outcome failed = Outcome::connect_failed;
   std::unique_ptr<Stream> opened = co_await open(call->node, failed);
   call->stream = std::move(opened);
-  for (const Attempt& part : std::vector<Attempt>(call->parts))
-    if (part.begin_by <= Clock::now()) {
-      give_up(part.id, Why::cancelled);
-      sink_.attempt_ended(part.id, {});
-    }
+  std::vector<AttemptId> late;
+  for (const Attempt& part : call->parts)
+    if (part.begin_by <= Clock::now()) late.push_back(part.id);
+  for (const AttemptId id : late) {
+    give_up(id, Why::cancelled);
+    sink_.attempt_ended(id, {});
+  }
   if (!call->stream || call->ended) {
     finish(*call, failed);
   } else {
--- a/src/peers/links.cpp
+++ b/src/peers/links.cpp
@@ -218,6 +218,7 @@
   Reader reader(bounds_.message_bytes);
   TimePoint until = Clock::now() + bounds_.hello;
   std::string peer;
+  Link* link = nullptr;  // ours to it, if it is one of those configured
   std::size_t size = 0;
   while (const auto envelope = co_await next(stream, reader, until, size)) {
     if (envelope->kind == static_cast<std::uint32_t>(Kind::hello)) {
@@ -226,12 +227,13 @@
       peer = envelope->from;
       const std::string answer = greeting(Kind::welcome, peer, envelope->from_life);
       if ((co_await stream.write_all(answer, Clock::now() + bounds_.write)).io != Io::ok) break;
-      if (const auto link = links_.find(peer); link != links_.end()) link->second->pause.wake();
+      if (const auto it = links_.find(peer); it != links_.end()) link = it->second.get();
+      if (link) link->pause.wake();
     } else {
       if (envelope->from != peer) break;
       metrics_.count("peers.received");
       metrics_.count("peers.bytes_received", size);
-      if (const auto link = links_.find(peer); link != links_.end()) link->second->received += size;
+      if (link) link->received += size;
       sink_.heard(*envelope);
     }
     until = Clock::now() + bounds_.idle;
