Read-through: one wait and one transport fixture for the tests of endings

All assertions stay; one is stricter (ASSERT before the first part seen is read). listening_socket() does not block, so that an accept too many fails a test instead of holding it up.

--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -50,6 +50,17 @@
   Descriptor socket_;
 };
 
+// Runs the scheduler until it is so; fails the test if that takes too long.
+void until(Scheduler& scheduler, std::function<bool()> so, Duration most = 5s) {
+  const auto wait = [&]() -> Task<void> {
+    const TimePoint last = Clock::now() + most;
+    bool is = so();
+    for (; !is && Clock::now() < last; is = so()) co_await scheduler.sleep_until(Clock::now() + 1ms);
+    EXPECT_TRUE(is);
+  };
+  run_to_end(scheduler, wait(), most + 5s);
+}
+
 // ---- the server's own closes ----
 struct Counting : HttpHandler {
   Task<http::Response> handle(http::Request, Caller& caller, TimePoint) override {
@@ -82,16 +93,7 @@
         server(scheduler, *Address::parse("127.0.0.1:0"), limits, metrics, handler) {}
   ~Served() { scheduler.end_tasks(); }
   std::string address() const { return server.address().text(); }
-  // Runs until it is so.
-  void until(std::function<bool()> so) {
-    const auto wait = [&]() -> Task<void> {
-      const TimePoint last = Clock::now() + 5s;
-      bool is = so();
-      for (; !is && Clock::now() < last; is = so()) co_await scheduler.sleep_until(Clock::now() + 1ms);
-      EXPECT_TRUE(is);
-    };
-    run_to_end(scheduler, wait(), 10s);
-  }
+  void until(std::function<bool()> so) { test::until(scheduler, std::move(so)); }
   Scheduler scheduler;
   const Limits limits;
   Metrics metrics{1s};
@@ -196,13 +198,7 @@
 
 // ---- clients that are gone ----
 void until(World& world, std::function<bool()> so, Duration most = 5s) {
-  const auto wait = [&]() -> Task<void> {
-    const TimePoint last = Clock::now() + most;
-    bool is = so();
-    for (; !is && Clock::now() < last; is = so()) co_await world.pause(1ms);
-    EXPECT_TRUE(is);
-  };
-  world.run(wait(), most + 5s);
+  until(world.scheduler, std::move(so), most);
 }
 
 class Gone : public testing::TestWithParam<Api> {
@@ -263,17 +259,10 @@
   std::map<AttemptId, Outcome> of;
 };
 
-// Two clients' parts wait in one call for its connection; one of them leaves. Only the other's part is asked
-// for.
-TEST_P(Gone, APartTakenBackWhileItsCallWaitsForAConnectionIsNotAskedForWithTheOthers) {
-  for (const bool given_up : {false, true}) {
-    Scheduler scheduler;
-    Metrics metrics(1s);
-    Limits limits;
-    Ends ends;
-    Node node(scheduler, GetParam());
-    std::unique_ptr<NodeTransport> transport;
-    if (GetParam() == Api::platform)
+// A transport and the one node that it is told of.
+struct OneNode {
+  explicit OneNode(Api api) : node(scheduler, api) {
+    if (api == Api::platform)
       transport = std::make_unique<FrameTransport>(scheduler, limits, metrics, ends);
     else
       transport = std::make_unique<OpenSearchTransport>(scheduler, limits, metrics, ends);
@@ -281,47 +270,57 @@
     entry.uid = "n0";
     entry.endpoint = node.address();
     transport->listed(1, entry);
-    std::vector<Attempt> call(2);
-    for (std::size_t i = 0; i < 2; ++i) {
-      call[i].id = i + 1;
-      call[i].query = "q" + std::to_string(i);
-      call[i].class_name = "equipment-search";
-      call[i].text = "{}";
-      call[i].until = Clock::now() + 2s;
-    }
-    transport->send(1, std::move(call));
+  }
+  ~OneNode() { scheduler.end_tasks(); }
+  // Runs until that attempt has ended.
+  void run_to(AttemptId attempt) {
+    until(scheduler, [&] { return ends.of.contains(attempt); });
+  }
+  Scheduler scheduler;
+  Metrics metrics{1s};
+  Limits limits;
+  Ends ends;
+  Node node;
+  std::unique_ptr<NodeTransport> transport;
+};
+
+Attempt attempt_of(AttemptId id, const std::string& query, const std::string& class_name) {
+  Attempt attempt;
+  attempt.id = id;
+  attempt.query = query;
+  attempt.class_name = class_name;
+  attempt.text = "{}";
+  attempt.until = Clock::now() + 2s;
+  return attempt;
+}
+
+// Two clients' parts wait in one call for its connection; one of them leaves. Only the other's part is asked
+// for.
+TEST_P(Gone, APartTakenBackWhileItsCallWaitsForAConnectionIsNotAskedForWithTheOthers) {
+  for (const bool given_up : {false, true}) {
+    OneNode one(GetParam());
+    one.transport->send(1,
+                        {attempt_of(1, "q0", "equipment-search"), attempt_of(2, "q1", "equipment-search")});
     if (given_up)
-      transport->give_up(1, NodeTransport::Why::cancelled);
+      one.transport->give_up(1, NodeTransport::Why::cancelled);
     else
-      EXPECT_TRUE(transport->take_back(1));
-    const auto wait = [&]() -> Task<void> {
-      while (!ends.of.contains(2)) co_await scheduler.sleep_until(Clock::now() + 1ms);
-    };
-    run_to_end(scheduler, wait(), 5s);
-    EXPECT_EQ(node.seen.size(), 1u);
-    EXPECT_EQ(node.seen[0].id.substr(0, 2), "q1");
-    EXPECT_FALSE(ends.of.contains(1));
-    EXPECT_FALSE(transport->take_back(2));  // what was written cannot be
-    scheduler.end_tasks();
+      EXPECT_TRUE(one.transport->take_back(1));
+    one.run_to(2);
+    ASSERT_EQ(one.node.seen.size(), 1u);
+    EXPECT_EQ(one.node.seen[0].id.substr(0, 2), "q1");
+    EXPECT_FALSE(one.ends.of.contains(1));
+    EXPECT_FALSE(one.transport->take_back(2));  // what was written cannot be
   }
 }
 
 // A node that takes a connection and reads nothing until told to.
 class Unread {
  public:
-  Unread() : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)) {
+  Unread() {
     const int small = 4096;
     ::setsockopt(listener_.get(), SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
-    Address any = *Address::parse("127.0.0.1:0");
-    EXPECT_EQ(::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&any.raw), sizeof any.raw), 0);
-    EXPECT_EQ(::listen(listener_.get(), 8), 0);
-  }
-  std::string address() const {
-    Address address;
-    socklen_t size = sizeof address.raw;
-    ::getsockname(listener_.get(), reinterpret_cast<sockaddr*>(&address.raw), &size);
-    return address.text();
   }
+  std::string address() const { return local_address(listener_.get()); }
   // The ids of the parts that have come by now.
   const std::vector<std::string>& read() {
     if (!link_) link_ = Descriptor(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK));
@@ -339,7 +338,7 @@
   }
 
  private:
-  Descriptor listener_, link_;
+  Descriptor listener_ = listening_socket(), link_;
   frames::Reader reader_{8 << 20};
   std::vector<std::string> ids_;
 };
@@ -489,36 +488,14 @@
 // it is never written, as the node would take it for a new one.
 TEST_P(Gone, ARepeatThatWouldBeginPastItsWindowDoesNotBegin) {
   for (const bool past : {true, false}) {
-    Scheduler scheduler;
-    Metrics metrics(1s);
-    Limits limits;
-    Ends ends;
-    Node node(scheduler, GetParam());
-    std::unique_ptr<NodeTransport> transport;
-    if (GetParam() == Api::platform)
-      transport = std::make_unique<FrameTransport>(scheduler, limits, metrics, ends);
-    else
-      transport = std::make_unique<OpenSearchTransport>(scheduler, limits, metrics, ends);
-    NodeEntry entry;
-    entry.uid = "n0";
-    entry.endpoint = node.address();
-    transport->listed(1, entry);
-    std::vector<Attempt> call(1);
-    call[0].id = 1;
-    call[0].query = "q0";
-    call[0].class_name = "inspection-log";
-    call[0].key = "k";
-    call[0].text = "{}";
-    call[0].until = Clock::now() + 2s;
-    call[0].begin_by = Clock::now() + (past ? Duration::zero() : Duration(2s));
-    transport->send(1, std::move(call));
-    const auto wait = [&]() -> Task<void> {
-      while (!ends.of.contains(1)) co_await scheduler.sleep_until(Clock::now() + 1ms);
-    };
-    run_to_end(scheduler, wait(), 5s);
-    EXPECT_EQ(node.seen.size(), past ? 0u : 1u);
-    EXPECT_EQ(ends.of[1], past ? Outcome::moot : Outcome::ok);
-    scheduler.end_tasks();
+    OneNode one(GetParam());
+    Attempt repeat = attempt_of(1, "q0", "inspection-log");
+    repeat.key = "k";
+    repeat.begin_by = Clock::now() + (past ? Duration::zero() : Duration(2s));
+    one.transport->send(1, {std::move(repeat)});
+    one.run_to(1);
+    EXPECT_EQ(one.node.seen.size(), past ? 0u : 1u);
+    EXPECT_EQ(one.ends.of[1], past ? Outcome::moot : Outcome::ok);
   }
 }
 
--- a/tests/program.h
+++ b/tests/program.h
@@ -111,7 +111,7 @@
 
 // A listening socket of the test's, as the platform holds one at an upgrade.
 inline Descriptor listening_socket() {
-  Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
