Do not move a part to another connection that was given up meanwhile

Found at the read-through: FrameTransport::give_up looked through the queue itself, and only of a connection that had not ended, where take_back() beside it looks at any. A call that waits on a connection found closed by its node moves to another in end(); a part of it that was given up between the two was moved all the same and written for nobody.

Change: give_up() begins with take_back().

--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -173,20 +173,20 @@
 }
 
 void FrameTransport::give_up(AttemptId attempt, Why why) {
+  // Also where the connection has ended: what waits on it may be about to move to another.
+  if (take_back(attempt)) return;
   const auto it = where_.find(attempt);
   if (it == where_.end()) return;
   const LinkPtr link = it->second.lock();
   where_.erase(it);
   if (!link || link->ended) return;
-  for (Link::Item& item : link->queue)
-    if (std::erase_if(item.call, [&](const Attempt& a) { return a.id == attempt; })) return;
   const auto out = std::find_if(link->out.begin(), link->out.end(),
                                 [&](const auto& entry) { return entry.second.attempt == attempt; });
   if (out == link->out.end()) return;
   // Guards against a machine that vanished: its connections stay open and silent for ever. One that has
   // brought nothing since a part was written on it gets no further parts.
   if (why == Why::timed_out && link->heard < out->second.written) link->retired = true;
-  link->queue.push_back({frames::kGiveUp, {}, out->first, false});
+  link->queue.push_back({frames::kGiveUp, {}, out->first});
   link->past.add(out->first);
   link->out.erase(out);
   link->wanted.wake();
@@ -208,7 +208,7 @@
   const LinkPtr link = pick(node, 0);
   if (!link) return sink_.probe_ended(node, Outcome::connect_failed, {}, {});
   link->probes.push_back(Clock::now());
-  link->queue.push_back({frames::kProbe, {}, {}, false});
+  link->queue.push_back({frames::kProbe, {}, {}});
   link->wanted.wake();
 }
 
@@ -349,7 +349,7 @@
       if (where_.contains(attempt))
         link->out[id] = {attempt, Clock::now()};
       else  // given up while it was being written
-        link->queue.push_back({frames::kGiveUp, {}, id, false});
+        link->queue.push_back({frames::kGiveUp, {}, id});
     }
   }
   link->cancel();
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -393,6 +393,27 @@
   for (const std::string& id : node.read()) EXPECT_NE(id, "q5");
 }
 
+// Answers the next part that comes on a node's end of a connection; its query.
+std::string answer_one(Scheduler& scheduler, const Descriptor& link) {
+  frames::Reader reader(1 << 20);
+  char buffer[4096];
+  until(scheduler, [&] {
+    const ssize_t got = ::recv(link.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+    if (got > 0) reader.feed({buffer, static_cast<std::size_t>(got)});
+    return got > 0;
+  });
+  const auto frame = reader.next();
+  EXPECT_TRUE(frame);
+  if (!frame) return {};
+  frames::AnswerPart out;
+  out.id = frames::decode_call(frame->rest)->front().id;
+  out.end = 'S';
+  out.value = "[]";
+  const std::string bytes = frames::encode_answer(out);
+  EXPECT_EQ(::send(link.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+  return out.id.substr(0, out.id.find('.'));
+}
+
 // A resting connection that its node closes as a call is about to be written on it: the call has not left,
 // and goes out on another connection. Nobody is blamed, and no attempt is spent.
 TEST(Endings, ACallThatMeetsItsConnectionsCloseGoesOutOnAnother) {
@@ -403,30 +424,11 @@
   world.discovery->set("n0", local_address(listener.get()), 0, "in_service");
   world.start();
   const auto accept = [&] { return Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK)); };
-  // Answers the one part that has come on a connection.
-  const auto answer = [&](Descriptor& link) {
-    frames::Reader reader(1 << 20);
-    char buffer[4096];
-    until(world, [&] {
-      const ssize_t got = ::recv(link.get(), buffer, sizeof buffer, MSG_DONTWAIT);
-      if (got > 0) reader.feed({buffer, static_cast<std::size_t>(got)});
-      return got > 0;
-    });
-    const auto frame = reader.next();
-    ASSERT_TRUE(frame);
-    frames::AnswerPart out;
-    out.id = frames::decode_call(frame->rest)->front().id;
-    out.end = 'S';
-    out.value = "[]";
-    const std::string bytes = frames::encode_answer(out);
-    EXPECT_EQ(::send(link.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
-              static_cast<ssize_t>(bytes.size()));
-  };
   Peer client(world.gateway->address());
   client.write(http::write(world.request("equipment-search", "0", 1s, "")));
   until(world, [&] { return world.gateway->metrics().value("calls.sent") == 1; });
   Descriptor link = accept();
-  answer(link);
+  answer_one(world.scheduler, link);
   until(world, [&] { return client.read().find("200 OK") != std::string::npos; });
   // The close falls into the very pass of the scheduler that takes the request, before it is sent on: the
   // word for it is read in the same batch of events, behind the request.
@@ -448,13 +450,49 @@
   });
   until(world, [&] { return world.gateway->metrics().value("node.connections_opened") == 2; });
   link = accept();
-  answer(link);
+  answer_one(world.scheduler, link);
   until(world, [&] { return client.read().find("200 OK") != std::string::npos; });
   const Metrics& metrics = world.gateway->metrics();
   EXPECT_EQ(metrics.value("attempts.sent"), 2u);
   EXPECT_EQ(metrics.value("attempts.reset") + metrics.value("attempts.connect_failed"), 0u);
 }
 
+// The same close, and the part is given up after the connection has been found closed and before what waits
+// on it is moved: it does not go out on the other one.
+TEST(Endings, APartGivenUpAsItsConnectionClosesIsNotMovedToAnother) {
+  OneNode one(Api::platform);
+  const Descriptor listener = listening_socket();
+  NodeEntry entry;
+  entry.uid = "n0";
+  entry.endpoint = local_address(listener.get());
+  one.transport->listed(1, entry);
+  Descriptor link;
+  const auto accept = [&] {
+    until(one.scheduler, [&] {
+      link = Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
+      return static_cast<bool>(link);
+    });
+  };
+  one.transport->send(1, {attempt_of(1, "q1", "equipment-search")});
+  accept();
+  EXPECT_EQ(answer_one(one.scheduler, link), "q1");
+  one.run_to(1);
+  const auto give_up = [&]() -> Task<void> {
+    one.transport->give_up(2, NodeTransport::Why::cancelled);
+    co_return;
+  };
+  const Timer crossing = one.scheduler.at(Clock::now(), [&] {
+    link.reset();
+    one.transport->send(1, {attempt_of(2, "q2", "equipment-search")});  // its writer goes first
+    one.scheduler.spawn(give_up());
+    one.transport->send(1, {attempt_of(3, "q3", "equipment-search")});
+  });
+  accept();
+  EXPECT_EQ(answer_one(one.scheduler, link), "q3");
+  one.run_to(3);
+  EXPECT_FALSE(one.ends.of.contains(2));
+}
+
 // What waits for its turn at a node when that node is told to drain is taken back, and goes to another
 // holder.
 TEST(Endings, APartThatWaitsAtANodeThatDrainsGoesElsewhere) {
