--- a/src/balance.cpp
+++ b/src/balance.cpp
@@ -44,6 +44,7 @@
 constexpr double kFar = 1.3;         // score of a holder in another zone: noise hides so much of a latency
 constexpr int kSideBySide = 2;       // parts of one call that count as one: they are served side by side
 constexpr double kColdSafety = 0.8;  // share of the allowed work that all mixers use on a cold server
+constexpr double kColdAhead = 0.5;   // parts that a mixer may send there ahead of its credit, at the least
 constexpr double kRefuseLow = 0.5;   // of the room to the aim, by the slowest part: least dense class refused
 constexpr double kRefuseHigh = 0.94;      // ... and the densest
 constexpr double kCalmSpan = 200;         // of the least aim: the calmest mean seen grows e-fold in so long
@@ -794,7 +795,7 @@
     if (server.heard) heard_sum_ -= server.latency, --heard_n_;
     server.cold_since = since;
     server.heard = false;
-    server.tokens = uniform(), server.tokens_at = now_;
+    server.tokens = uniform() - kColdAhead, server.tokens_at = now_;
   }
 
   double cold_share(const Server& server) const {
@@ -803,20 +804,21 @@
     return s_.cold_from + (1 - s_.cold_from) * std::max(age, 0.0) / s_.cold_ms;
   }
 
-  // Danger: a cold server is pushed over by all mixers together. Each keeps to its own part: what an
-  // average server answers it at best, times the allowed multiple and the least share of capacity that
-  // the server can have by now. If all do so the sum stays allowed whatever their shares of the traffic
-  // are, as no server answers more than its capacity. The floor lets one part through per mixer.
+  // Danger: a cold server is pushed over by all mixers together. Each keeps to its own part: what an average
+  // server answers it at best, times the allowed multiple and the least share of capacity it can have by now.
+  // So the sum stays allowed whatever their shares of the traffic are; one part gets through per mixer. In a
+  // burst each sends what it has saved up; ahead of that goes its share of all's slack, or half a part.
   bool may_warm(Server& server) {
-    const double share = cold_share(server);
+    const double share = cold_share(server), mixers = std::max(2, s_.mixers);
     if (share >= 1) return true;
-    const double floor = 1 / (s_.tip_after_ms * std::max(2, s_.mixers));
-    const double rate =
-        std::max(kColdSafety * s_.tip_multiple * share * peak() / std::max(usable_, 1.0), floor);
+    const double ramp = kColdSafety * s_.tip_multiple * share * peak() / std::max(usable_, 1.0);
+    const double rate = std::max(ramp, 1 / (s_.tip_after_ms * mixers));
     const double most = std::max(1.0, rate * s_.tip_after_ms / 2);
     server.tokens = std::min(most, server.tokens + rate * (now_ - server.tokens_at));
     server.tokens_at = now_;
-    return server.tokens >= (joins(server, kSideBySide) ? 0 : 1);  // parts of a call are not torn apart
+    const double all = rate * s_.tip_after_ms * mixers / kColdSafety;  // N, if others have as much to send
+    const double ahead = ((1 - kColdSafety) * all + 2 * std::sqrt(all) + 2) / mixers;
+    return server.tokens >= (joins(server, kSideBySide) ? std::clamp(1 - ahead, 0.0, kColdAhead) : 1);
   }
 
   // ---- admission ----
@@ -946,14 +948,12 @@
     q.timer = at;
     timer(at - now_, std::to_string(q.id));
   }
-  Query* find(RequestId id) {
-    const auto it = queries_.find(id);
-    return it == queries_.end() ? nullptr : &it->second;
-  }
-  Server* find_server(ServerId id) {
-    const auto it = servers_.find(id);
-    return it == servers_.end() ? nullptr : &it->second;
+  static auto* entry(auto& map, auto id) {
+    const auto it = map.find(id);
+    return it == map.end() ? nullptr : &it->second;
   }
+  Query* find(RequestId id) { return entry(queries_, id); }
+  Server* find_server(ServerId id) { return entry(servers_, id); }
   std::pair<Query*, Part*> find_part(RequestId id) {
     const auto it = part_of_.find(id);
     if (it == part_of_.end()) return {nullptr, nullptr};
