--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -658,11 +658,11 @@
 TEST(Endings, AListWithoutLengthCountsOnceItsConnectionHasEndedAndNotWhenItIsReset) {
   World world({});
   const Descriptor listener = listening_socket();
-  const auto list = [&] {
-    world.discovery->set("n0", world.nodes[0]->address(), 0, "terminating");
-    return "HTTP/1.1 200 OK\r\n\r\n" + world.discovery->list(true, 0);
-  };
-  std::string error;
+  std::string list = "HTTP/1.1 200 OK\r\n\r\n";
+  for (const char c : world.discovery->list(true, 0)) {
+    list += c;
+    if (c == '{' || c == '[' || c == ',') list += "\n\t    ";
+  }
   const Limits limits;
   Metrics metrics(1s);
   struct Lists : DirectorySink {
@@ -682,15 +682,13 @@
     });
     char buffer[1024];
     until(world, [&] { return ::recv(link.get(), buffer, sizeof buffer, 0) > 0; });
-    const std::string bytes = list();
-    EXPECT_EQ(::send(link.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL),
-              static_cast<ssize_t>(bytes.size()));
+    EXPECT_EQ(::send(link.get(), list.data(), list.size(), MSG_NOSIGNAL), static_cast<ssize_t>(list.size()));
     const linger now{1, 0};
     if (reset) ::setsockopt(link.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
     link.reset();
     until(world, [&] { return lists.failed + lists.taken.size() > (reset ? 0u : 1u); });
     EXPECT_EQ(lists.failed, 1);
-    EXPECT_EQ(lists.taken.size(), reset ? 0u : 1u);
+    EXPECT_EQ(lists.taken, reset ? std::vector<std::size_t>{} : std::vector<std::size_t>{3});
   }
   world.scheduler.end_tasks();
 }
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: MIT
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include "kelpdeal/metrics.h"
@@ -11,6 +13,39 @@
 
 using namespace std::chrono_literals;
 
+// What is written leaves at once on every connection, taken or made: a small write that the system holds back
+// would go with a reset.
+TEST(Socket, NoConnectionHoldsSmallWritesBack) {
+  Scheduler scheduler;
+  Listener listener(scheduler, *Address::parse("127.0.0.1:0"), 4);
+  std::unique_ptr<Stream> taken, made;
+  const auto both = [&]() -> Task<void> {
+    made = co_await connect(scheduler, listener.address(), Clock::now() + 2s);
+    taken = co_await listener.accept();
+    scheduler.stop();
+  };
+  scheduler.spawn(both());
+  scheduler.run();
+  ASSERT_TRUE(made && taken);
+  int seen = 0;
+  for (int fd = 3; fd < 256; ++fd) {
+    Address ours, theirs;
+    socklen_t size = sizeof ours.raw;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&ours.raw), &size) != 0) continue;
+    size = sizeof theirs.raw;
+    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&theirs.raw), &size) != 0)
+      continue;  // none, or listens
+    const std::string address = listener.address().text();
+    if (ours.text() != address && theirs.text() != address) continue;
+    int at_once = 0;
+    size = sizeof at_once;
+    EXPECT_EQ(::getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &at_once, &size), 0);
+    EXPECT_NE(at_once, 0) << fd;
+    ++seen;
+  }
+  EXPECT_EQ(seen, 2);
+}
+
 TEST(Scheduler, SpawnedTasksEndOnTheirOwnAndTheRestWithIt) {
   auto token = std::make_shared<int>(1);
   {
