Fleet under faults: a round begins once every member says that the node is in service

Cause: hand() (chaos_test.cpp) takes what a member lists as told. After a fault it may still list the node by the ban of an earlier round; then it hears of the end of that one, serves the node as it should, and hears of the new ban last. Ruled out: holding out late (Fleet::look holds out in the message's own turn), a ban lost over a kill (the member ran throughout).

Change: a round begins only once every member runs, answers and does not list the node, and counts only if the call was taken.

--- a/tests/fleet/chaos_test.cpp
+++ b/tests/fleet/chaos_test.cpp
@@ -120,6 +120,16 @@
     --running;
   }
 
+  // Whether every member runs, answers, and says that the node is not out.
+  Task<bool> known_in_service(std::string name) {
+    for (int i = 0; i < kMembers; ++i) {
+      if (!fleet.runs(i)) co_return false;
+      const std::string out = co_await fleet.call(i, "OUT", 300ms);
+      if (!out.starts_with("SUCCESS ") || out.find("\"" + name + "\"") != std::string::npos) co_return false;
+    }
+    co_return true;
+  }
+
   // A node in service is taken out at one, and back at another. Whoever has said in between that it is out
   // sends it nothing more past the grace.
   Task<void> hand() {
@@ -127,8 +137,12 @@
     while (!over) {
       const int node = pick(3), member = pick(kMembers);
       const std::string name = "n" + std::to_string(node);
-      // Only once it has been taken: what a member says before may be an earlier round's ban, of whose end it
-      // has not heard.
+      // Guards against an earlier round's ban, of whose end a member has not heard, being taken for this
+      // one's.
+      if (!co_await known_in_service(name)) {
+        co_await fleet.world.pause(50ms);
+        continue;
+      }
       std::string taken;
       if (fleet.runs(member)) taken = co_await fleet.call(member, "OFFLINE " + name, 1500ms);
       std::map<int, TimePoint> told;
