Read-through: one set-up for held-up calls, one wait to accept, in the endings' tests

Three tests of parts that wait behind unread calls set the same options up line by line, and three waited for a connection to a listening socket of their own in the same loop: held_up() and accept_one() serve them. All assertions stay; the program is unchanged.

--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -387,11 +387,18 @@
   std::vector<std::string> ids_;
 };
 
-// Aims so long that a busy machine makes no attempt time out.
-void take_time(Options& options) {
+// For calls that wait at a node that does not read: all on one connection, no write given up, and aims so
+// long that a busy machine makes no attempt time out.
+Options held_up(int node_count) {
+  Options options;
+  options.node_count = node_count;
+  options.shards = 30;
+  options.settings = {{"\"multiplex\":32", "\"multiplex\":400"}};
   for (int i = 0; i < 3; ++i)
     options.settings.emplace_back("\"sloMs\":500,\"deadlineMs\":1200",
                                   "\"sloMs\":20000,\"deadlineMs\":60000");
+  options.adjust = [](Limits& limits) { limits.frame_time = 60s; };
+  return options;
 }
 
 // Of the keyed class: 300 ms from the first attempt, in which a part may be repeated.
@@ -417,12 +424,8 @@
 // Its part waits behind a call that the node does not read, where the settings allow no cancels: it is taken
 // back all the same, as none of it has left.
 TEST(Endings, APartThatWaitsForItsTurnOnAConnectionIsTakenBackWhenItsClientLeaves) {
-  Options options;
-  options.node_count = 1;
-  options.shards = 30;
-  options.settings = {{"\"cancel\":true", "\"cancel\":false"}, {"\"multiplex\":32", "\"multiplex\":400"}};
-  options.adjust = [](Limits& limits) { limits.frame_time = 60s; };
-  take_time(options);
+  Options options = held_up(1);
+  options.settings.emplace_back("\"cancel\":true", "\"cancel\":false");
   World world(options);
   Unread node;
   world.discovery->set("n0", node.address(), 0, "in_service");
@@ -443,6 +446,16 @@
   for (const std::string& id : node.read()) EXPECT_NE(id, "q5");
 }
 
+// The next connection that comes to a listening socket of the test's.
+Descriptor accept_one(Scheduler& scheduler, const Descriptor& listener) {
+  Descriptor link;
+  until(scheduler, [&] {
+    link = Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
+    return static_cast<bool>(link);
+  });
+  return link;
+}
+
 // Answers the next part that comes on a node's end of a connection; its query.
 std::string answer_one(Scheduler& scheduler, const Descriptor& link) {
   frames::Reader reader(1 << 20);
@@ -473,11 +486,10 @@
   const Descriptor listener = listening_socket();
   world.discovery->set("n0", local_address(listener.get()), 0, "in_service");
   world.start();
-  const auto accept = [&] { return Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK)); };
   Peer client(world.gateway->address());
   client.write(http::write(world.request("equipment-search", "0", 1s, "")));
   until(world, [&] { return world.gateway->metrics().value("calls.sent") == 1; });
-  Descriptor link = accept();
+  Descriptor link = accept_one(world.scheduler, listener);
   answer_one(world.scheduler, link);
   until(world, [&] { return client.read().find("200 OK") != std::string::npos; });
   // The close falls into the very pass of the scheduler that takes the request, before it is sent on: the
@@ -499,7 +511,7 @@
     EXPECT_EQ(::send(word.get(), "x", 1, 0), 1);
   });
   until(world, [&] { return world.gateway->metrics().value("node.connections_opened") == 2; });
-  link = accept();
+  link = accept_one(world.scheduler, listener);
   answer_one(world.scheduler, link);
   until(world, [&] { return client.read().find("200 OK") != std::string::npos; });
   const Metrics& metrics = world.gateway->metrics();
@@ -513,15 +525,8 @@
   OneNode one(Api::platform);
   const Descriptor listener = listening_socket();
   one.listed(1, local_address(listener.get()));
-  Descriptor link;
-  const auto accept = [&] {
-    until(one.scheduler, [&] {
-      link = Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
-      return static_cast<bool>(link);
-    });
-  };
   one.transport->send(1, {attempt_of(1, "q1", "equipment-search")});
-  accept();
+  Descriptor link = accept_one(one.scheduler, listener);
   EXPECT_EQ(answer_one(one.scheduler, link), "q1");
   one.run_to(1);
   const auto give_up = [&]() -> Task<void> {
@@ -534,7 +539,7 @@
     one.scheduler.spawn(give_up());
     one.transport->send(1, {attempt_of(3, "q3", "equipment-search")});
   });
-  accept();
+  link = accept_one(one.scheduler, listener);
   EXPECT_EQ(answer_one(one.scheduler, link), "q3");
   one.run_to(3);
   EXPECT_FALSE(one.ends.of.contains(2));
@@ -543,13 +548,7 @@
 // What waits for its turn at a node when that node is told to drain is taken back, and goes to another
 // holder: by that alone, no time-out and no copy brings it there.
 TEST(Endings, APartThatWaitsAtANodeThatDrainsGoesElsewhere) {
-  Options options;
-  options.shards = 30;
-  options.node_count = 2;
-  options.settings = {{"\"multiplex\":32", "\"multiplex\":400"}};
-  options.adjust = [](Limits& limits) { limits.frame_time = 60s; };
-  take_time(options);
-  World world(options);
+  World world(held_up(2));
   Unread node;  // in place of n0, the only holder that is listed as yet
   world.discovery->set("n0", node.address(), 0, "in_service");
   world.discovery->set("n1", world.nodes[1]->address(), 1, "terminating");
@@ -623,13 +622,8 @@
 // The first attempt fails at one node, and its repeat waits for its turn at the other, behind calls that are
 // not read, until the window is over: it is never written.
 TEST(Endings, ARepeatThatWaitsForItsTurnBeyondItsWindowIsNeverWritten) {
-  Options options;
-  options.node_count = 2;
-  options.shards = 30;
-  options.settings = {{"\"multiplex\":32", "\"multiplex\":400"}};
+  Options options = held_up(2);
   short_window(options);
-  options.adjust = [](Limits& limits) { limits.frame_time = 60s; };
-  take_time(options);
   World world(options);
   Unread node;  // in place of n1, the only holder that is listed as yet
   world.discovery->set("n1", node.address(), 1, "in_service");
@@ -714,11 +708,7 @@
                          lists);
   client.subscribe();
   for (const bool reset : {true, false}) {
-    Descriptor link;
-    until(world, [&] {
-      link = Descriptor(::accept4(listener.get(), nullptr, nullptr, SOCK_NONBLOCK));
-      return static_cast<bool>(link);
-    });
+    Descriptor link = accept_one(world.scheduler, listener);
     char buffer[1024];
     until(world, [&] { return ::recv(link.get(), buffer, sizeof buffer, 0) > 0; });
     EXPECT_EQ(::send(link.get(), list.data(), list.size(), MSG_NOSIGNAL), static_cast<ssize_t>(list.size()));
