--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -106,7 +106,7 @@
       // The rule allows half a second after the request's time, and 50 ms as slack on sockets; this waits for 1 s.
       const Asked asked{query, usual.ask(query.bytes(), query.budget_ms + 1000)};
       record("%s %s: %s %d after %.0f ms", query.id.c_str(), query.klass.c_str(),
-             asked.result.status == 0 ? "NO ANSWER" : "answer", asked.result.status, asked.result.took_ms);
+             asked.result.text(), asked.result.status, asked.result.took_ms);
       const std::lock_guard lock(mutex);
       all.push_back(asked);
     });
@@ -123,7 +123,7 @@
          most);
   std::size_t lost = 0, ok = 0;
   for (const Asked& asked : all) {
-    lost += asked.result.status == 0;
+    lost += asked.result.lost();
     ok += asked.result.status == 200;
   }
   const bool up = coordinator.running();
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -103,11 +103,11 @@
       const Result result = id_is_even ? exchange(coordinator.port, query.bytes(), query.budget_ms + 1000)
                                        : keeping.ask(query.bytes(), query.budget_ms + 1000);
       record("%s %s: %s %d after %.0f ms", query.id.c_str(), query.klass.c_str(),
-             result.status == 0 ? "NO ANSWER" : "answer", result.status, result.took_ms);
+             result.text(), result.status, result.took_ms);
       const std::lock_guard lock(mutex);
       ++asked;
       ok += result.status == 200;
-      lost += result.status == 0;
+      lost += result.lost();
     });
     sleep_ms(500);
   }
