--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -189,9 +189,12 @@
   explicit RecentQueryIds(std::size_t capacity) : capacity_(capacity) {}
   // Returns false if the id is in use.
   bool claim(const std::string& id, TimePoint until, TimePoint now);
+  // Ids that were forgotten before their time, because the table was full.
+  std::uint64_t forgotten() const { return forgotten_; }
 
  private:
   std::size_t capacity_;
+  std::uint64_t forgotten_ = 0;
   std::unordered_set<std::string> ids_;
   std::set<std::pair<TimePoint, std::string>> expirations_;
 };
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -104,6 +104,9 @@
   // How often the saved set of offline nodes is checked for changes by the other process of an upgrade.
   Duration handover_poll_interval = Milliseconds(200);
 
+  // A turn of the event loop that takes longer is counted and logged.
+  Duration slow_turn_threshold = Milliseconds(100);
+
   // Log: minimum time between two lines of the same kind; further lines are only counted.
   Duration log_interval = Milliseconds(1'000);
 };
--- a/include/kelpdeal/scheduler.h
+++ b/include/kelpdeal/scheduler.h
@@ -106,6 +106,9 @@
   // must call this before it destroys those objects.
   void destroy_tasks();
   std::function<void(std::exception_ptr)> on_failure;
+  // Calls `action` with the duration of each turn of the loop, from one wait for events to the next, that
+  // exceeds `threshold`. Nothing else is served during a turn.
+  void on_slow_turn(Duration threshold, std::function<void(Duration)> action);
 
   // Queues a suspended coroutine for resumption.
   void post(std::coroutine_handle<> handle) { runnable_.push_back(handle); }
@@ -137,6 +140,7 @@
   RootTask start(Task<void> task, std::list<std::coroutine_handle<>>::iterator position);
   void run_due_timers();
   void resume_runnable();
+  void check_turn_duration(TimePoint turn_started);
 
   Descriptor epoll_;
   std::deque<std::coroutine_handle<>> runnable_;
@@ -144,6 +148,8 @@
   std::list<std::coroutine_handle<>> root_tasks_;
   std::vector<epoll_event> event_batch_;
   std::exception_ptr uncaught_exception_;
+  Duration slow_turn_threshold_{};
+  std::function<void(Duration)> slow_turn_action_;
   std::uint64_t last_timer_id_ = 0;
   bool stopped_ = false;
 };
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -121,6 +121,7 @@
 
 bool RecentQueryIds::claim(const std::string& id, TimePoint until, TimePoint now) {
   while (!expirations_.empty() && (expirations_.begin()->first <= now || expirations_.size() >= capacity_)) {
+    if (expirations_.begin()->first > now) ++forgotten_;
     ids_.erase(expirations_.begin()->second);
     expirations_.erase(expirations_.begin());
   }
@@ -186,7 +187,10 @@
     co_return refusal("capacity", limits_.max_retry_after);
   }
   // The id must be unique among open queries, because nodes' answers are matched by it.
-  if (!recent_ids_.claim(request.id, request.expires, Clock::now())) {
+  const std::uint64_t forgotten_before = recent_ids_.forgotten();
+  const bool claimed = recent_ids_.claim(request.id, request.expires, Clock::now());
+  metrics_.count("queries.ids_forgotten", recent_ids_.forgotten() - forgotten_before);
+  if (!claimed) {
     metrics_.count("queries.rejected");
     metrics_.log("request", "the request's id is in use by another open request");
     Reply rejected;
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -75,7 +75,10 @@
   };
   std::vector<Candidate> candidates;
   for (Connection& c : connections_) {
-    if (c.evicted) return true;  // an earlier eviction is still in progress
+    if (c.evicted) {  // an earlier eviction is still in progress
+      metrics_.count("clients.evictions_pending");
+      return true;
+    }
     if (const int priority = retention_priority(c); priority < kKeep)
       candidates.emplace_back(priority, c.state_since, &c);
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -236,12 +236,17 @@
       components_->metrics.log("fault", e.what());
     }
   };
+  scheduler.on_slow_turn(components_->limits.slow_turn_threshold, [this](Duration took) {
+    const auto ms = std::chrono::duration_cast<Milliseconds>(took).count();
+    components_->metrics.log("loop", "one turn of the event loop took " + std::to_string(ms) + " ms");
+  });
 }
 
 Gateway::~Gateway() {
   // End suspended tasks before the components they refer to are destroyed.
   components_->scheduler.destroy_tasks();
   components_->scheduler.on_failure = nullptr;
+  components_->scheduler.on_slow_turn({}, nullptr);
 }
 
 std::string Gateway::address() const { return components_->server.address().text(); }
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -368,6 +368,7 @@
     if (write_result.status != IoStatus::ok) break;
     connection->being_written.clear();
     for (const auto& [id, attempt] : parts) {
+      if (connection->in_flight.contains(id)) metrics_.count("node.parts_replaced");
       if (connections_by_attempt_.contains(attempt))
         connection->in_flight[id] = {attempt, Clock::now()};
       else  // cancelled while it was being written
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -128,8 +128,20 @@
   }
 }
 
+void Scheduler::on_slow_turn(Duration threshold, std::function<void(Duration)> action) {
+  slow_turn_threshold_ = threshold;
+  slow_turn_action_ = std::move(action);
+}
+
+void Scheduler::check_turn_duration(TimePoint turn_started) {
+  if (!slow_turn_action_) return;
+  const Duration took = Clock::now() - turn_started;
+  if (took > slow_turn_threshold_) slow_turn_action_(took);
+}
+
 void Scheduler::run() {
   stopped_ = false;
+  TimePoint turn_started = Clock::now();
   while (!stopped_) {
     resume_runnable();
     run_due_timers();
@@ -142,8 +154,10 @@
       const auto remaining = std::chrono::ceil<Milliseconds>(timers_.begin()->first.first - Clock::now());
       wait_ms = static_cast<int>(std::clamp<std::int64_t>(remaining.count(), 0, kMaxEpollWaitMs));
     }
+    check_turn_duration(turn_started);
     const int count =
         ::epoll_wait(epoll_.get(), event_batch_.data(), static_cast<int>(event_batch_.size()), wait_ms);
+    turn_started = Clock::now();
     for (int i = 0; i < count; ++i)
       if (event_batch_[i].data.ptr)
         static_cast<ReadinessHandler*>(event_batch_[i].data.ptr)->on_ready(event_batch_[i].events);
