--- a/include/kelpdeal/admin_server.h
+++ b/include/kelpdeal/admin_server.h
@@ -4,11 +4,10 @@
 #pragma once
 
 #include <functional>
-#include <list>
-#include <memory>
 #include <string>
 #include <string_view>
 
+#include "kelpdeal/accepted_connections.h"
 #include "kelpdeal/limits.h"
 #include "kelpdeal/metrics.h"
 #include "kelpdeal/socket.h"
@@ -24,16 +23,15 @@
   Address address() const { return listener_.address(); }
 
  private:
-  using ConnectionPosition = std::list<std::unique_ptr<Stream>>::iterator;
   Task<void> accept_connections();
-  Task<void> serve_connection(ConnectionPosition position);
+  Task<void> serve_connection(AcceptedConnections::Position position);
 
   Scheduler& scheduler_;
   const Limits limits_;
   Metrics& metrics_;
   std::function<Task<std::string>(std::string)> answer_;
   Listener listener_;
-  std::list<std::unique_ptr<Stream>> connections_;
+  AcceptedConnections connections_;
 };
 
 }  // namespace kelpdeal
--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -11,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 #include "cottonbay/balancer.h"
@@ -20,6 +19,7 @@
 #include "kelpdeal/metrics.h"
 #include "kelpdeal/part_sink.h"
 #include "kelpdeal/phases/margin.h"
+#include "kelpdeal/query_ids.h"
 #include "kelpdeal/scheduler.h"
 #include "kelpdeal/task.h"
 #include "kelpdeal/time.h"
@@ -66,6 +66,8 @@
   // The attempt must not start after this time. A retry within a keyed class's deduplication window that
   // waits for a connection until the window has ended would be executed a second time.
   TimePoint begin_by = kNever;
+  // Identifies the query within this process; `query` is its client's id, which another query may bear later.
+  cottonbay::RequestId query_number = 0;
 };
 
 // How an attempt ended and, if it succeeded, the node's value.
@@ -183,22 +185,6 @@
 
 class Driver;
 
-// The ids of queries that are open or whose client may still wait. A new query must have a new id.
-class RecentQueryIds {
- public:
-  explicit RecentQueryIds(std::size_t capacity) : capacity_(capacity) {}
-  // Returns false if the id is in use.
-  bool claim(const std::string& id, TimePoint until, TimePoint now);
-  // Ids that were forgotten before their time, because the table was full.
-  std::uint64_t forgotten() const { return forgotten_; }
-
- private:
-  std::size_t capacity_;
-  std::uint64_t forgotten_ = 0;
-  std::unordered_set<std::string> ids_;
-  std::set<std::pair<TimePoint, std::string>> expirations_;
-};
-
 // Serves requests: admits them, has the decision module choose nodes and outcomes, and merges the progress of
 // their parts into one reply each.
 class Broker : public AttemptSink, public DirectorySink {
@@ -246,7 +232,7 @@
   const Limits limits_;
   Metrics& metrics_;
   std::unique_ptr<Driver> driver_;
-  RecentQueryIds recent_ids_;
+  QueryIds query_ids_;
   TimePoint latest_expiry_ = kNever;
   phases::MarginEstimator margin_;
   KeyedOperations* keyed_ = nullptr;
--- a/include/kelpdeal/frame_transport.h
+++ b/include/kelpdeal/frame_transport.h
@@ -42,12 +42,14 @@
   Task<void> run(ConnectionPtr connection);
   Task<void> write(ConnectionPtr connection);
   void send(NodeId node, std::vector<Attempt> call, bool resent);
+  static std::vector<Attempt> take_repeated_ids(std::vector<Attempt>& call);
+  void stop_waiting(Connection& connection, const std::string& id);
   void read_frame(Connection& connection, const frames::Frame& frame);
   void protocol_error(Connection& connection, const std::string& what);
   void close(const ConnectionPtr& connection);
   void report_result(Connection& connection, AttemptId attempt, AttemptResult result);
   static std::size_t established_count(const Node& node);
-  ConnectionPtr select_connection(NodeId node, std::size_t parts);
+  ConnectionPtr select_connection(NodeId node, const std::vector<Attempt>& call);
   bool close_longest_idle();
 
   Scheduler& scheduler_;
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -34,7 +34,7 @@
   std::size_t max_cursors = 10'000, max_cursors_per_team = 500;
   std::size_t max_cursor_bytes = 32 * 1024;
   std::size_t read_chunk_bytes = 16 * 1024;
-  std::size_t max_recent_query_ids = 4096;  // of queries whose client may still be waiting
+  std::size_t max_ended_query_ids = 4096;  // remembered until the query's expiry
   // Allowed deviation from 1 of the sum of a query's weights (the rule on answers).
   double weight_sum_tolerance = 0.0001;
 
@@ -56,7 +56,8 @@
   Duration frame_read_timeout = Milliseconds(250);  // first to last byte; settings: limits.dialTimeoutMs
   Duration second_step_delay = Milliseconds(2);     // from a second step's first call to its other calls
   Duration removed_node_retention = std::chrono::seconds(30);  // how long a removed node is remembered
-  // A connection remembers the ids of its completed parts: this many times the number of parts it carries.
+  // A connection remembers the ids of answered parts, and is replaced after giving up parts that may still be
+  // answered: this many times the number of parts that it carries.
   std::size_t past_parts_factor = 8;
 
   // Clients.
--- a/include/kelpdeal/peers/links.h
+++ b/include/kelpdeal/peers/links.h
@@ -6,13 +6,13 @@
 #pragma once
 
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "kelpdeal/accepted_connections.h"
 #include "kelpdeal/metrics.h"
 #include "kelpdeal/peers/codec.h"
 #include "kelpdeal/peers/envelope.h"
@@ -95,11 +95,10 @@
     bool up = false, broken = false;
     std::unique_ptr<Stream> stream;
   };
-  using Accepted = std::list<std::unique_ptr<Stream>>;
   Task<void> connect_loop(std::string peer);
   Task<bool> handshake(const std::string& peer, Link& link);
   Task<void> accept_all();
-  Task<void> serve_connection(Accepted::iterator position);
+  Task<void> serve_connection(AcceptedConnections::Position position);
   Task<std::optional<Envelope>> next_envelope(Stream& stream, MessageReader& reader, TimePoint deadline,
                                               std::size_t& bytes);
   std::string handshake_message(Kind kind, const std::string& to, std::uint64_t to_incarnation,
@@ -120,7 +119,7 @@
   std::map<std::string, std::unique_ptr<Link>, std::less<>> links_;
   // Number of the last handshake message, by receiver.
   std::map<std::string, std::uint64_t, std::less<>> handshake_numbers_;
-  Accepted accepted_;
+  AcceptedConnections accepted_;
 };
 
 }  // namespace kelpdeal::peers
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -119,24 +119,13 @@
 
 }  // namespace
 
-bool RecentQueryIds::claim(const std::string& id, TimePoint until, TimePoint now) {
-  while (!expirations_.empty() && (expirations_.begin()->first <= now || expirations_.size() >= capacity_)) {
-    if (expirations_.begin()->first > now) ++forgotten_;
-    ids_.erase(expirations_.begin()->second);
-    expirations_.erase(expirations_.begin());
-  }
-  if (!ids_.insert(id).second) return false;
-  expirations_.emplace(until, id);
-  return true;
-}
-
 Broker::Broker(Scheduler& scheduler, const Config& config, Metrics& metrics)
     : scheduler_(scheduler),
       settings_(config.settings),
       limits_(config.limits),
       metrics_(metrics),
       driver_(std::make_unique<Driver>(scheduler, settings_, limits_, config.seed, metrics)),
-      recent_ids_(limits_.max_recent_query_ids),
+      query_ids_(limits_.max_ended_query_ids, metrics),
       margin_(limits_.answer_margin_bounds) {}
 
 Broker::~Broker() = default;
@@ -186,11 +175,15 @@
     metrics_.log("capacity", "the limit of open queries and parts is reached; refusing a query");
     co_return refusal("capacity", limits_.max_retry_after);
   }
+  // The client may have disconnected before its request was read.
+  const auto withdrawn_reply = [&] {
+    metrics_.count("queries.withdrawn");
+    return failure("client gone");
+  };
+  if (client.cancelled()) co_return withdrawn_reply();
   // The id must be unique among open queries, because nodes' answers are matched by it.
-  const std::uint64_t forgotten_before = recent_ids_.forgotten();
-  const bool claimed = recent_ids_.claim(request.id, request.expires, Clock::now());
-  metrics_.count("queries.ids_forgotten", recent_ids_.forgotten() - forgotten_before);
-  if (!claimed) {
+  const auto claimed_id = query_ids_.claim(request.id, request.expires, Clock::now());
+  if (!claimed_id) {
     metrics_.count("queries.rejected");
     metrics_.log("request", "the request's id is in use by another open request");
     Reply rejected;
@@ -199,12 +192,6 @@
     co_return rejected;
   }
   CapacityHold hold(open_, required);
-  const auto withdrawn_reply = [&] {
-    metrics_.count("queries.withdrawn");
-    return failure("client gone");
-  };
-  // The client may have disconnected before its request was read.
-  if (client.cancelled()) co_return withdrawn_reply();
 
   Reply reply;
   for (const PartRequest& part : request.parts) reply.requested.push_back(part.shard);
@@ -281,6 +268,7 @@
                       plan.first_phase_shards()};
       attempt.shard = parts[send_event->part].shard;
       attempt.begin_by = send_event->begin_by;
+      attempt.query_number = query;
       if (const auto& text = parts[send_event->part].text) attempt.text = *text;
       driver_->dispatch(send_event->node, std::move(attempt));
 
--- a/src/front/admin_server.cpp
+++ b/src/front/admin_server.cpp
@@ -11,26 +11,24 @@
       limits_(limits),
       metrics_(metrics),
       answer_(std::move(answer)),
-      listener_(scheduler, listen, limits.listen_backlog) {
+      listener_(scheduler, listen, limits.listen_backlog),
+      connections_(limits.max_admin_connections) {
   scheduler_.spawn(accept_connections());
 }
 
 Task<void> AdminServer::accept_connections() {
   while (auto stream = co_await listener_.accept()) {
     metrics_.count("admin.connections");
-    // Bounds the connections, as callers that hold theirs open would use up the clients' descriptors. The
-    // oldest one is closed, as it is the first to time out anyway.
-    if (connections_.size() >= limits_.max_admin_connections) {
-      metrics_.count("admin.shed");
-      connections_.front()->cancel();
-    }
-    connections_.push_back(std::move(stream));
-    scheduler_.spawn(serve_connection(std::prev(connections_.end())));
+    // Bounds the connections, as callers that hold theirs open would use up the clients' descriptors.
+    const AcceptedConnections::Room room = connections_.make_room();
+    if (room != AcceptedConnections::Room::available) metrics_.count("admin.shed");
+    if (room != AcceptedConnections::Room::none)
+      scheduler_.spawn(serve_connection(connections_.add(std::move(stream))));
   }
 }
 
-Task<void> AdminServer::serve_connection(ConnectionPosition position) {
-  Stream& stream = **position;
+Task<void> AdminServer::serve_connection(AcceptedConnections::Position position) {
+  Stream& stream = *position->stream;
   operations::LineReader reader(limits_.max_admin_line_bytes);
   const TimePoint deadline = Clock::now() + limits_.admin_read_timeout;
   char chunk[256];
@@ -42,6 +40,7 @@
   }
   std::string reply;
   if (state == operations::LineReader::State::done) {
+    position->in_use = true;
     reply = co_await answer_(reader.line());
   } else if (state == operations::LineReader::State::too_long) {
     metrics_.count("admin.bad");
@@ -54,7 +53,7 @@
     co_await stream.write_all(reply, Clock::now() + limits_.admin_write_timeout);
     stream.finish_writing();
   }
-  connections_.erase(position);
+  connections_.remove(position);
 }
 
 }  // namespace kelpdeal
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -2,7 +2,10 @@
 #include "kelpdeal/frame_transport.h"
 
 #include <algorithm>
-#include <unordered_set>
+#include <iterator>
+#include <set>
+
+#include "kelpdeal/part_ids.h"
 
 namespace kelpdeal {
 
@@ -23,30 +26,6 @@
   return options;
 }
 
-namespace {
-
-// A bounded set of the ids of recently finished or cancelled parts of a connection. A cancelled part may
-// still be answered, and an answer may arrive twice; an answer to any other unknown id is a protocol error.
-class FinishedIds {
- public:
-  explicit FinishedIds(std::size_t max_ids) : max_ids_(max_ids) {}
-  void add(std::string id) {
-    if (!ids_.insert(id).second) return;
-    order_.push_back(std::move(id));
-    if (order_.size() <= max_ids_) return;
-    ids_.erase(order_.front());
-    order_.pop_front();
-  }
-  bool contains(const std::string& id) const { return ids_.contains(id); }
-
- private:
-  std::size_t max_ids_;
-  std::unordered_set<std::string> ids_;
-  std::deque<std::string> order_;
-};
-
-}  // namespace
-
 // One connection to a node, its send queue and the parts in flight on it.
 struct FrameTransport::Connection {
   struct QueuedFrame {
@@ -63,7 +42,7 @@
       : node(node),
         address(to),
         writer_wakeup(scheduler),
-        finished_ids(limits.past_parts_factor * limits.parts_per_connection),
+        part_ids(limits.past_parts_factor * limits.parts_per_connection),
         reader(limits.max_frame_bytes) {}
 
   NodeId node;
@@ -73,7 +52,7 @@
   std::deque<QueuedFrame> queue;
   std::vector<AttemptId> being_written;
   std::map<std::string, InFlightPart> in_flight;  // by the id sent to the node
-  FinishedIds finished_ids;
+  PartIds part_ids;
   std::deque<TimePoint> probes;  // send times of unanswered probes
   frames::Reader reader;
   std::optional<TimePoint> frame_started_at;  // start of the incomplete frame, if there is one
@@ -88,6 +67,13 @@
     for (const QueuedFrame& item : queue) parts += item.call.size();
     return parts;
   }
+  // Whether the call may be sent on this connection.
+  bool accepts(const std::vector<Attempt>& call, std::size_t max_parts) const {
+    if (ended || retired || load() + call.size() > max_parts) return false;
+    return std::all_of(call.begin(), call.end(), [this](const Attempt& attempt) {
+      return part_ids.available(wire_id(attempt), attempt.query_number);
+    });
+  }
   bool idle() const { return queue.empty() && being_written.empty() && in_flight.empty() && probes.empty(); }
   void cancel() {
     ended = true;
@@ -116,16 +102,14 @@
   node.address = address;
 }
 
-// The least loaded connection with capacity for `parts` more parts, or a new one. Null if no connection may
-// be opened.
-FrameTransport::ConnectionPtr FrameTransport::select_connection(NodeId id, std::size_t parts) {
+// The least loaded connection that accepts the call, or a new one. Null if no connection may be opened.
+FrameTransport::ConnectionPtr FrameTransport::select_connection(NodeId id, const std::vector<Attempt>& call) {
   const auto known = nodes_.find(id);
   if (known == nodes_.end()) return nullptr;
   Node& node = known->second;
   ConnectionPtr best;
   for (const ConnectionPtr& connection : node.connections) {
-    if (connection->ended || connection->retired || connection->load() + parts > limits_.parts_per_connection)
-      continue;
+    if (!connection->accepts(call, limits_.parts_per_connection)) continue;
     // The node may be about to close a connection that has been idle for this long.
     if (connection->idle() && connection->established &&
         Clock::now() - connection->last_used > limits_.node_idle_timeout)
@@ -167,10 +151,21 @@
   return oldest != nullptr;
 }
 
+// Removes the parts whose id another part of the call bears, and returns them.
+std::vector<Attempt> FrameTransport::take_repeated_ids(std::vector<Attempt>& call) {
+  std::set<std::string> ids;
+  const auto repeated = std::stable_partition(call.begin(), call.end(), [&ids](const Attempt& attempt) {
+    return ids.insert(wire_id(attempt)).second;
+  });
+  std::vector<Attempt> taken(std::make_move_iterator(repeated), std::make_move_iterator(call.end()));
+  call.erase(repeated, call.end());
+  return taken;
+}
+
 void FrameTransport::send(NodeId node, std::vector<Attempt> call) { send(node, std::move(call), false); }
 
 void FrameTransport::send(NodeId node, std::vector<Attempt> call, bool resent) {
-  const ConnectionPtr connection = select_connection(node, call.size());
+  const ConnectionPtr connection = select_connection(node, call);
   if (!connection) {
     AttemptResult result;
     const auto known = nodes_.find(node);
@@ -181,10 +176,15 @@
     for (const Attempt& attempt : call) sink_.attempt_ended(attempt.id, result);
     return;
   }
-  for (const Attempt& attempt : call) connections_by_attempt_[attempt.id] = connection;
+  const std::vector<Attempt> repeated = take_repeated_ids(call);
+  for (const Attempt& attempt : call) {
+    connections_by_attempt_[attempt.id] = connection;
+    connection->part_ids.queue(wire_id(attempt), attempt.query_number);
+  }
   connection->last_used = Clock::now();
   connection->queue.push_back({frames::kCall, std::move(call), {}, resent});
   connection->writer_wakeup.wake();
+  if (!repeated.empty()) send(node, repeated, resent);  // on another connection
 }
 
 void FrameTransport::give_up(AttemptId attempt, GiveUpReason why) {
@@ -202,26 +202,40 @@
   // nothing since the timed-out part was written is not used for further parts.
   if (why == GiveUpReason::timed_out && connection->last_received < in_flight->second.written_at)
     connection->retired = true;
-  connection->queue.push_back({frames::kCancel, {}, in_flight->first});
-  connection->finished_ids.add(in_flight->first);
+  const std::string id = in_flight->first;
   connection->in_flight.erase(in_flight);
+  stop_waiting(*connection, id);
   connection->writer_wakeup.wake();
 }
 
+// Cancels a written part at the node, which may still answer it. A connection with too many such parts takes
+// no further ones, as none of them may be forgotten.
+void FrameTransport::stop_waiting(Connection& connection, const std::string& id) {
+  connection.queue.push_back({frames::kCancel, {}, id});
+  connection.part_ids.give_up(id);
+  if (!connection.part_ids.full() || connection.retired) return;
+  connection.retired = true;
+  metrics_.count("node.connections_retired");
+}
+
 bool FrameTransport::cancel_unsent(AttemptId attempt) {
   const auto it = connections_by_attempt_.find(attempt);
   const ConnectionPtr connection = it == connections_by_attempt_.end() ? nullptr : it->second.lock();
   if (!connection) return false;
-  for (Connection::QueuedFrame& item : connection->queue)
-    if (std::erase_if(item.call, [&](const Attempt& a) { return a.id == attempt; }) > 0) {
-      connections_by_attempt_.erase(it);
-      return true;
-    }
+  for (Connection::QueuedFrame& item : connection->queue) {
+    const auto part = std::find_if(item.call.begin(), item.call.end(),
+                                   [&](const Attempt& queued) { return queued.id == attempt; });
+    if (part == item.call.end()) continue;
+    connection->part_ids.discard(wire_id(*part));
+    item.call.erase(part);
+    connections_by_attempt_.erase(it);
+    return true;
+  }
   return false;
 }
 
 void FrameTransport::probe(NodeId node) {
-  const ConnectionPtr connection = select_connection(node, 0);
+  const ConnectionPtr connection = select_connection(node, {});
   if (!connection) return sink_.probe_ended(node, Outcome::connect_failed, {}, {});
   connection->probes.push_back(Clock::now());
   connection->queue.push_back({frames::kProbe, {}, {}});
@@ -348,6 +362,7 @@
       std::vector<frames::CallPart> call;
       for (const Attempt& attempt : item.call) {
         if (attempt.begin_by <= Clock::now()) {
+          connection->part_ids.discard(wire_id(attempt));
           report_result(*connection, attempt.id, {});
           continue;
         }
@@ -368,11 +383,11 @@
     if (write_result.status != IoStatus::ok) break;
     connection->being_written.clear();
     for (const auto& [id, attempt] : parts) {
-      if (connection->in_flight.contains(id)) metrics_.count("node.parts_replaced");
+      connection->part_ids.written(id);
       if (connections_by_attempt_.contains(attempt))
         connection->in_flight[id] = {attempt, Clock::now()};
-      else  // cancelled while it was being written
-        connection->queue.push_back({frames::kCancel, {}, id});
+      else  // given up while it was being written
+        stop_waiting(*connection, id);
     }
   }
   connection->cancel();
@@ -389,15 +404,11 @@
   if (frame.type == frames::kAnswer) {
     auto answer = frames::decode_answer(frame.payload);
     if (!answer) return protocol_error(connection, "malformed answer");
+    const PartIds::Answer kind = connection.part_ids.answered(answer->id);
+    if (kind == PartIds::Answer::unknown) return protocol_error(connection, "answer to an unknown part");
+    if (kind == PartIds::Answer::late) return metrics_.count("node.answers_too_late");
     const auto in_flight = connection.in_flight.find(answer->id);
-    if (in_flight == connection.in_flight.end()) {
-      if (!connection.finished_ids.contains(answer->id))
-        return protocol_error(connection, "answer to an unknown part");
-      metrics_.count("node.answers_too_late");
-      return;
-    }
     const AttemptId attempt = in_flight->second.attempt;
-    connection.finished_ids.add(in_flight->first);
     connection.in_flight.erase(in_flight);
     AttemptResult result;
     result.outcome = answer->outcome == 'S'   ? Outcome::ok
--- a/src/peers/links.cpp
+++ b/src/peers/links.cpp
@@ -17,7 +17,8 @@
       sink_(sink),
       random_(seed),
       verifier_(name_, incarnation, keys),
-      listener_(scheduler, listen, static_cast<int>(bounds.max_accepted)) {
+      listener_(scheduler, listen, static_cast<int>(bounds.max_accepted)),
+      accepted_(bounds.max_accepted) {
   for (const Peer& peer : peers) links_[peer.name] = std::make_unique<Link>(scheduler, peer.address);
   for (const auto& [peer, link] : links_) scheduler_.spawn(connect_loop(peer));
   scheduler_.spawn(accept_all());
@@ -50,7 +51,7 @@
     link->broken = true;
     link->writer_wakeup.wake();
   }
-  for (const auto& stream : accepted_) stream->cancel();
+  accepted_.cancel_all();
 }
 
 void Links::stop() {
@@ -207,18 +208,16 @@
 Task<void> Links::accept_all() {
   while (auto stream = co_await listener_.accept()) {
     metrics_.count("peers.accepted");
-    // Callers must not hold all connections: the oldest one is closed; a real peer reconnects.
-    if (accepted_.size() >= bounds_.max_accepted) {
-      metrics_.count("peers.shed");
-      accepted_.front()->cancel();
-    }
-    accepted_.push_back(std::move(stream));
-    scheduler_.spawn(serve_connection(std::prev(accepted_.end())));
+    // Callers that do not identify themselves must neither hold all connections nor end those of peers.
+    const AcceptedConnections::Room room = accepted_.make_room();
+    if (room != AcceptedConnections::Room::available) metrics_.count("peers.shed");
+    if (room != AcceptedConnections::Room::none)
+      scheduler_.spawn(serve_connection(accepted_.add(std::move(stream))));
   }
 }
 
-Task<void> Links::serve_connection(Accepted::iterator position) {
-  Stream& stream = **position;
+Task<void> Links::serve_connection(AcceptedConnections::Position position) {
+  Stream& stream = *position->stream;
   MessageReader reader(bounds_.max_message_bytes);
   TimePoint deadline = Clock::now() + bounds_.handshake_timeout;
   std::string peer;
@@ -229,6 +228,7 @@
       Hello their_hello;
       if (!peer.empty() || !decode(envelope->body, their_hello)) break;
       peer = envelope->from;
+      position->in_use = true;
       const std::string answer = handshake_message(Kind::welcome, peer, envelope->from_incarnation);
       if ((co_await stream.write_all(answer, Clock::now() + bounds_.write_timeout)).status != IoStatus::ok)
         break;
@@ -243,7 +243,7 @@
     }
     deadline = Clock::now() + bounds_.idle_timeout;
   }
-  accepted_.erase(position);
+  accepted_.remove(position);
 }
 
 }  // namespace kelpdeal::peers
--- a/tests/links_test.cpp
+++ b/tests/links_test.cpp
@@ -271,5 +271,27 @@
   }());
 }
 
+// Guards against callers that never identify themselves ending the links of peers (incident: mixed-up
+// answers, related paths).
+TEST_F(LinksTest, LinkOfPeerStaysBesideManyUnidentifiedCallers) {
+  const Address at = free_address(scheduler);
+  LinkBounds bounds;
+  bounds.max_accepted = 3;
+  Member first(scheduler, "n1", 10, kAny, {{"n2", at}});
+  Member second(scheduler, "n2", 20, at, {{"n1", first.links.address()}}, fleet_keys(), bounds);
+  run([&]() -> Task<void> {
+    co_await until([&] { return first.links.up("n2") && second.links.up("n1"); });
+    std::vector<std::unique_ptr<Stream>> callers;
+    for (std::uint64_t accepted = 2; accepted <= 13; ++accepted) {
+      callers.push_back(co_await connect(scheduler, at, Clock::now() + 1s));
+      co_await until([&] { return second.metrics.value("peers.accepted") == accepted; });
+    }
+    EXPECT_EQ(second.metrics.value("peers.shed"), 10u);
+    EXPECT_TRUE(first.links.send("n2", Kind::delta, "after the callers"));
+    co_await until([&] { return !second.sink.bodies.empty(); });
+    EXPECT_EQ(first.sink.down_count, 0u);
+  }());
+}
+
 }  // namespace
 }  // namespace kelpdeal::test
