--- a/include/kelpdeal/scheduler.h
+++ b/include/kelpdeal/scheduler.h
@@ -45,7 +45,7 @@
 enum class WakeReason { ready, timed_out, cancelled };
 
 // Suspends one coroutine until wake() is called or a deadline passes. Only one coroutine may be parked at a
-// time.
+// time: park() throws std::logic_error in a second one.
 class Parker {
  public:
   explicit Parker(Scheduler& scheduler) : scheduler_(&scheduler) {}
@@ -118,7 +118,7 @@
     return at(Clock::now() + delay, std::move(action));
   }
 
-  // Resumes the caller after every coroutine that is runnable now.
+  // Resumes the caller after every coroutine that is runnable now, in the same turn.
   auto yield() {
     struct Yield {
       Scheduler& scheduler;
@@ -129,6 +129,10 @@
     return Yield{*this};
   }
   Task<void> sleep_until(TimePoint when);
+  // Resumes the caller once due timers have run and the descriptors have been looked at.
+  Task<void> next_turn() { return sleep_until(Clock::now()); }
+  // The number of the current turn of the loop. Each wait for events begins another one.
+  std::uint64_t turn() const { return turn_; }
 
   // Registers a descriptor with epoll. The handler must be unwatched before it is destroyed.
   void watch(int fd, std::uint32_t events, ReadinessHandler& handler);
@@ -151,9 +155,29 @@
   Duration slow_turn_threshold_{};
   std::function<void(Duration)> slow_turn_action_;
   std::uint64_t last_timer_id_ = 0;
+  std::uint64_t turn_ = 0;
   bool stopped_ = false;
 };
 
+// Limits how much of one kind of work is done in one turn of the loop. A loop whose peer keeps it supplied
+// takes from a budget and waits for the next turn when it is used up: otherwise it would never suspend, and
+// neither timers nor signals nor other connections would be served.
+class TurnBudget {
+ public:
+  TurnBudget(Scheduler& scheduler, int per_turn) : scheduler_(scheduler), per_turn_(per_turn) {}
+  // False if the budget of this turn is used up.
+  bool take() {
+    if (std::exchange(turn_, scheduler_.turn()) != scheduler_.turn()) taken_ = 0;
+    return ++taken_ <= per_turn_;
+  }
+
+ private:
+  Scheduler& scheduler_;
+  const int per_turn_;
+  std::uint64_t turn_ = 0;
+  int taken_ = 0;
+};
+
 // A FIFO queue of messages with a single consumer coroutine.
 template <typename T>
 class Mailbox {
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -34,7 +34,8 @@
   std::size_t bytes = 0;
 };
 
-// A TCP connection. At most one reader and one writer may wait at a time.
+// A TCP connection. At most one reader and one writer may wait at a time. A peer that keeps the socket ready
+// is served for a few operations in each turn of the scheduler.
 class Stream : private ReadinessHandler {
  public:
   Stream(Scheduler& scheduler, Descriptor descriptor);
@@ -68,6 +69,7 @@
   Scheduler& scheduler_;
   Descriptor descriptor_;
   Parker reader_, writer_;
+  TurnBudget operations_;
   std::function<void()> hang_up_action_;
   bool cancelled_ = false, hung_up_ = false;
 };
@@ -97,6 +99,7 @@
   Scheduler& scheduler_;
   Descriptor descriptor_;
   Parker parker_;
+  TurnBudget accepts_;
 };
 
 }  // namespace kelpdeal
--- a/src/peers/links.cpp
+++ b/src/peers/links.cpp
@@ -4,6 +4,12 @@
 #include <algorithm>
 
 namespace kelpdeal::peers {
+namespace {
+
+// Of one accepted connection; one read may bring hundreds.
+constexpr int kMessagesPerTurn = 16;
+
+}  // namespace
 
 Links::Links(Scheduler& scheduler, std::string name, std::uint64_t incarnation, Address listen,
              const std::vector<Peer>& peers, const Keys& keys, const LinkBounds& bounds, Metrics& metrics,
@@ -223,7 +229,9 @@
   std::string peer;
   Link* link = nullptr;  // this member's link to it, if it is a configured peer
   std::size_t size = 0;
+  TurnBudget messages(scheduler_, kMessagesPerTurn);
   while (const auto envelope = co_await next_envelope(stream, reader, deadline, size)) {
+    if (!messages.take()) co_await scheduler_.next_turn();
     if (envelope->kind == static_cast<std::uint32_t>(Kind::hello)) {
       Hello their_hello;
       if (!peer.empty() || !decode(envelope->body, their_hello)) break;
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <stdexcept>
 #include <system_error>
 
 namespace kelpdeal {
@@ -10,6 +11,8 @@
 
 constexpr std::size_t kEventBatchSize = 64;  // events read by one epoll_wait
 constexpr std::int64_t kMaxEpollWaitMs = 60'000;
+// Coroutines that wake each other must not hold up timers and descriptors.
+constexpr int kMaxResumesPerTurn = 1'000;
 
 }  // namespace
 
@@ -25,6 +28,8 @@
 }
 
 void Parker::Awaiter::await_suspend(std::coroutine_handle<> handle) {
+  // A second coroutine would take the place of the first, which would never be resumed.
+  if (parker_.waiting_) throw std::logic_error("two coroutines wait at one place");
   handle_ = handle;
   parker_.waiting_ = this;
   if (deadline_ != kNever)
@@ -121,7 +126,7 @@
 }
 
 void Scheduler::resume_runnable() {
-  while (!runnable_.empty() && !stopped_) {
+  for (int resumed = 0; resumed < kMaxResumesPerTurn && !runnable_.empty() && !stopped_; ++resumed) {
     const auto handle = runnable_.front();
     runnable_.pop_front();
     handle.resume();
@@ -158,6 +163,7 @@
     const int count =
         ::epoll_wait(epoll_.get(), event_batch_.data(), static_cast<int>(event_batch_.size()), wait_ms);
     turn_started = Clock::now();
+    ++turn_;
     for (int i = 0; i < count; ++i)
       if (event_batch_[i].data.ptr)
         static_cast<ReadinessHandler*>(event_batch_[i].data.ptr)->on_ready(event_batch_[i].events);
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -14,6 +14,12 @@
 namespace kelpdeal {
 namespace {
 
+// A request that is answered at once takes a read, a write, and a read that waits for the next request.
+constexpr int kOperationsPerTurn = 4;
+constexpr int kAcceptsPerTurn = 16;
+// Of one call of accept(), for connections that fail as they are accepted.
+constexpr int kMaxAcceptAttempts = 16;
+
 IoStatus io_status(WakeReason wake) {
   return wake == WakeReason::timed_out ? IoStatus::timed_out : IoStatus::cancelled;
 }
@@ -61,7 +67,11 @@
 }
 
 Stream::Stream(Scheduler& scheduler, Descriptor descriptor)
-    : scheduler_(scheduler), descriptor_(std::move(descriptor)), reader_(scheduler), writer_(scheduler) {
+    : scheduler_(scheduler),
+      descriptor_(std::move(descriptor)),
+      reader_(scheduler),
+      writer_(scheduler),
+      operations_(scheduler, kOperationsPerTurn) {
   set_no_delay(descriptor_.get());
   scheduler_.watch(descriptor_.get(), EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET, *this);
 }
@@ -114,6 +124,8 @@
 }
 
 Task<IoResult> Stream::read_some(std::span<char> into, TimePoint deadline) {
+  if (!operations_.take() && co_await reader_.park(Clock::now()) == WakeReason::cancelled)
+    co_return IoResult{IoStatus::cancelled, 0};
   while (!cancelled_) {
     const ssize_t got = ::recv(descriptor_.get(), into.data(), into.size(), 0);
     if (got > 0) co_return IoResult{IoStatus::ok, static_cast<std::size_t>(got)};
@@ -128,6 +140,11 @@
 
 Task<IoResult> Stream::write_all(std::string_view bytes, TimePoint deadline) {
   std::size_t done = 0;
+  if (!operations_.take()) {
+    if (co_await writer_.park(Clock::now()) == WakeReason::cancelled)
+      co_return IoResult{IoStatus::cancelled, 0};
+    if (Clock::now() >= deadline) co_return IoResult{IoStatus::timed_out, 0};  // must not begin late
+  }
   while (!cancelled_ && done < bytes.size()) {
     const ssize_t put = ::send(descriptor_.get(), bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
     if (put >= 0) {
@@ -164,11 +181,16 @@
   if (started != 0 && errno != EINPROGRESS) co_return nullptr;
   auto stream = make_stream(scheduler, std::move(fd));
   if (!stream || co_await stream->wait_connected(deadline) != IoStatus::ok) co_return nullptr;
+  // On loopback the connection is up at once: a loop that connects again and again would never suspend.
+  co_await scheduler.next_turn();
   co_return stream;
 }
 
 Listener::Listener(Scheduler& scheduler, Address address, int backlog, Descriptor inherited)
-    : scheduler_(scheduler), descriptor_(std::move(inherited)), parker_(scheduler) {
+    : scheduler_(scheduler),
+      descriptor_(std::move(inherited)),
+      parker_(scheduler),
+      accepts_(scheduler, kAcceptsPerTurn) {
   if (descriptor_)
     adopt_inherited();
   else
@@ -219,7 +241,7 @@
 }
 
 std::unique_ptr<Stream> Listener::try_accept() {
-  while (descriptor_) {
+  for (int attempt = 0; descriptor_ && attempt < kMaxAcceptAttempts; ++attempt) {
     Descriptor fd(::accept4(descriptor_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       if (auto stream = make_stream(scheduler_, std::move(fd))) return stream;
@@ -227,10 +249,12 @@
       return nullptr;
     }
   }
+  errno = EMFILE;  // as for connections that cannot be taken: accept() tries again after a pause
   return nullptr;
 }
 
 Task<std::unique_ptr<Stream>> Listener::accept() {
+  if (!accepts_.take()) co_await parker_.park(Clock::now());
   while (descriptor_) {
     if (auto stream = try_accept()) co_return stream;
     // If accept failed for lack of descriptors, the edge-triggered event has been consumed and no new one
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -2,8 +2,12 @@
 // The kelpdeal program as a child process, tested over its sockets.
 #include "program.h"
 
+#include <poll.h>
 #include <sys/stat.h>
 
+#include <atomic>
+#include <thread>
+
 namespace kelpdeal::test {
 namespace {
 
@@ -211,6 +215,120 @@
   ::rmdir(tmp.c_str());
 }
 
+// ---- peers that send at full speed ----
+// Sends the same bytes again and again from a thread of its own, as fast as they are taken, and reads what
+// comes.
+class FullSpeedSender {
+ public:
+  FullSpeedSender(Descriptor connection, std::string bytes)
+      : connection_(std::move(connection)), bytes_(std::move(bytes)), thread_([this] { run(); }) {}
+  ~FullSpeedSender() {
+    stop_ = true;
+    thread_.join();
+  }
+  static Descriptor connect_to(const std::string& address) {
+    const Address to = *Address::parse(address);
+    Descriptor connection(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    EXPECT_EQ(::connect(connection.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw), 0);
+    return connection;
+  }
+
+ private:
+  void run() {
+    std::size_t sent = 0;
+    std::vector<char> chunk(64 * 1024);
+    while (!stop_) {
+      pollfd one{connection_.get(), POLLIN | POLLOUT, 0};
+      ::poll(&one, 1, 10);
+      if (one.revents & POLLIN && ::recv(connection_.get(), chunk.data(), chunk.size(), MSG_DONTWAIT) == 0)
+        return;
+      if (!(one.revents & POLLOUT)) continue;
+      const ssize_t put =
+          ::send(connection_.get(), bytes_.data() + sent, bytes_.size() - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (put < 0 && errno != EAGAIN) return;
+      if (put > 0) sent = (sent + static_cast<std::size_t>(put)) % bytes_.size();
+    }
+  }
+  const Descriptor connection_;
+  const std::string bytes_;
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+std::string repeated(const std::string& bytes, int times) {
+  std::string all;
+  for (int i = 0; i < times; ++i) all += bytes;
+  return all;
+}
+
+// Guards against a client that pipelines requests at full speed and so holds the event loop: others get their
+// answers, operators theirs, and SIGTERM is seen (docs/incidents/one-peer-holds-the-loop.md).
+TEST(TheProgram, PipeliningClientsLeaveTurnsToOthersOperatorsAndSignals) {
+  const std::string front = testing::TempDir() + "kelpdeal-turns-" + std::to_string(::getpid()) + ".json";
+  std::ofstream(front)
+      << R"({"listen":"127.0.0.1:0","indices":{"equipment":{"class":"equipment-search","slices":2}}})";
+  for (const bool through_search_front : {false, true}) {
+    TestCluster cluster({});
+    Program program(cluster, cluster.config_text(), "127.0.0.1:0", {"--front", front},
+                    admin_environment(make_tmpdir("turns")));
+    const std::string address = program.address(), search_address = program.address(),
+                      admin_address = program.address();
+    const std::string request = repeated(
+        through_search_front ? "GET /_cluster/health HTTP/1.1\r\n\r\n" : "GET /-/healthy HTTP/1.1\r\n\r\n",
+        300);
+    std::vector<std::unique_ptr<FullSpeedSender>> senders;
+    for (int i = 0; i < 4; ++i)
+      senders.push_back(std::make_unique<FullSpeedSender>(
+          FullSpeedSender::connect_to(through_search_front ? search_address : address), request));
+    cluster.run([&]() -> Task<void> {
+      co_await cluster.pause(200ms);
+      const http::Response answer =
+          co_await cluster.send(address, cluster.request("equipment-search", "0,1", 1s, ""));
+      EXPECT_EQ(answer.status, 200);
+      EXPECT_EQ(co_await admin_call(cluster, admin_address, "HEALTH\n"), "SUCCESS ready\n");
+      program.signal(SIGTERM);
+      co_await cluster.pause(200ms);
+      EXPECT_EQ((co_await cluster.send(address, get("/-/ready"))).status, 503);
+      senders.clear();
+    }());
+  }
+  std::remove(front.c_str());
+}
+
+// The same for a discovery service that answers without being asked, again and again.
+TEST(TheProgram, DiscoveryThatAnswersUnaskedLeavesTurnsToOthers) {
+  TestCluster cluster({});
+  const Descriptor listener = listening_socket();
+  std::string config = cluster.config_text();
+  const std::string original = cluster.discovery->address();
+  config.replace(config.find(original), original.size(), local_address(listener.get()));
+  const std::string list = cluster.discovery->list(true, 0);
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+  std::atomic<bool> stop{false};
+  std::thread discovery([&] {
+    std::vector<std::unique_ptr<FullSpeedSender>> senders;
+    while (!stop) {
+      pollfd one{listener.get(), POLLIN, 0};
+      if (::poll(&one, 1, 10) <= 0) continue;
+      Descriptor connection(::accept4(listener.get(), nullptr, nullptr, SOCK_CLOEXEC));
+      if (senders.size() > 8) senders.erase(senders.begin());
+      senders.push_back(std::make_unique<FullSpeedSender>(std::move(connection), answer));
+    }
+  });
+  Program program(cluster, config, "127.0.0.1:0");
+  const std::string address = program.address();
+  cluster.run([&]() -> Task<void> {
+    co_await cluster.pause(200ms);
+    for (int i = 0; i < 3; ++i) {
+      EXPECT_EQ((co_await cluster.send(address, cluster.request("equipment-search", "0,1", 1s, ""))).status,
+                200);
+    }
+  }());
+  stop = true;
+  discovery.join();
+}
+
 TEST(TheProgram, SigtermFinishesOpenQueries) {
   TestCluster cluster({});
   for (auto& node : cluster.nodes)
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -161,6 +161,110 @@
   scheduler.run();
 }
 
+// ---- peers that keep a loop supplied ----
+// Guards against loops that never suspend while their peer keeps the socket ready: a timer that is due has to
+// run after a few operations (docs/incidents/one-peer-holds-the-loop.md).
+constexpr int kManySteps = 2'000;
+
+// Runs `step` until a timer that is due at once has run, `kManySteps` times at the most; returns how often.
+int steps_until_timer(Scheduler& scheduler, std::function<Task<void>()> step) {
+  int steps = 0;
+  bool fired = false;
+  const auto loop = [&]() -> Task<void> {
+    const Timer timer = scheduler.at(Clock::now(), [&] { fired = true; });
+    for (; steps < kManySteps && !fired; ++steps) co_await step();
+    scheduler.stop();
+  };
+  scheduler.spawn(loop());
+  scheduler.run();
+  scheduler.destroy_tasks();
+  return steps;
+}
+
+struct FedStream {
+  FedStream() {
+    int pair[2];
+    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair), 0);
+    stream = std::make_unique<Stream>(scheduler, Descriptor(pair[0]));
+    peer = Descriptor(pair[1]);
+  }
+  Scheduler scheduler;
+  std::unique_ptr<Stream> stream;
+  Descriptor peer;
+};
+
+TEST(TurnOfTheLoop, ReaderOfFedStreamLetsTimersRun) {
+  FedStream fed;
+  const int steps = steps_until_timer(fed.scheduler, [&]() -> Task<void> {
+    EXPECT_EQ(::send(fed.peer.get(), "x", 1, 0), 1);
+    char byte = 0;
+    const IoResult got = co_await fed.stream->read_some({&byte, 1}, Clock::now() + 1h);
+    EXPECT_EQ(got.status, IoStatus::ok);
+  });
+  EXPECT_LT(steps, 20);
+}
+
+TEST(TurnOfTheLoop, WriterToEmptiedStreamLetsTimersRun) {
+  FedStream fed;
+  const int steps = steps_until_timer(fed.scheduler, [&]() -> Task<void> {
+    const IoResult put = co_await fed.stream->write_all("x", Clock::now() + 1h);
+    EXPECT_EQ(put.status, IoStatus::ok);
+    char byte = 0;
+    EXPECT_EQ(::recv(fed.peer.get(), &byte, 1, 0), 1);
+  });
+  EXPECT_LT(steps, 20);
+}
+
+TEST(TurnOfTheLoop, AcceptingFromFullBacklogLetsTimersRun) {
+  Scheduler scheduler;
+  Listener listener(scheduler, *Address::parse("127.0.0.1:0"), 4);
+  const Address to = listener.address();
+  const int steps = steps_until_timer(scheduler, [&]() -> Task<void> {
+    const Descriptor peer(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    EXPECT_EQ(::connect(peer.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw), 0);
+    EXPECT_TRUE(co_await listener.accept());
+  });
+  EXPECT_LT(steps, 40);
+}
+
+TEST(TurnOfTheLoop, ConnectingAgainAndAgainLetsTimersRun) {
+  Scheduler scheduler;
+  const Listener listener(scheduler, *Address::parse("127.0.0.1:0"), 511);
+  const int steps = steps_until_timer(scheduler, [&]() -> Task<void> {
+    EXPECT_TRUE(co_await connect(scheduler, listener.address(), Clock::now() + 1s));
+  });
+  EXPECT_LT(steps, 20);
+}
+
+TEST(TurnOfTheLoop, CoroutinesThatWakeEachOtherLetTimersRun) {
+  Scheduler scheduler;
+  const int steps = steps_until_timer(scheduler, [&]() -> Task<void> { co_await scheduler.yield(); });
+  EXPECT_LT(steps, kManySteps);
+}
+
+// A read that waits for its turn is cancelled like one that waits for data.
+TEST(TurnOfTheLoop, ReadThatWaitsForItsTurnCanBeInterrupted) {
+  FedStream fed;
+  bool interrupted = false;
+  const auto reads = [&]() -> Task<void> {
+    char byte = 0;
+    for (int i = 0; i < 20 && !interrupted; ++i) {
+      EXPECT_EQ(::send(fed.peer.get(), "x", 1, 0), 1);
+      interrupted =
+          (co_await fed.stream->read_some({&byte, 1}, Clock::now() + 1h)).status == IoStatus::cancelled;
+    }
+    fed.scheduler.stop();
+  };
+  const auto interrupts = [&]() -> Task<void> {
+    fed.stream->interrupt();
+    co_return;
+  };
+  fed.scheduler.spawn(reads());
+  fed.scheduler.spawn(interrupts());
+  fed.scheduler.run();
+  EXPECT_TRUE(interrupted);
+}
+
 TEST(Address, ParsesIpv4AddressAndPort) {
   EXPECT_EQ(Address::parse("10.0.0.4:8000")->text(), "10.0.0.4:8000");
   for (const char* invalid :
--- a/tests/search_test.cpp
+++ b/tests/search_test.cpp
@@ -372,6 +372,25 @@
   EXPECT_EQ(cancelled_count, 2);  // cancelled only once
 }
 
+// Guards against a template that holds the event loop for good: nested sections over a list multiply the work
+// and write nothing (docs/incidents/one-peer-holds-the-loop.md).
+TEST(Templates, SectionsThatWriteNothingAreBounded) {
+  std::string error;
+  json::Array items;
+  for (int i = 0; i < 1000; ++i) items.push_back(json::Value(static_cast<double>(i)));
+  json::Object parameters{{"a", std::move(items)}};
+  const json::Value values(std::move(parameters));
+  std::string visits;
+  for (int i = 0; i < 100'000; ++i) visits += "{{!}}";
+  const std::string templates[] = {"{{#a}}{{#a}}{{#a}}{{#a}}{{/a}}{{/a}}{{/a}}{{/a}}",
+                                   "{{#a}}" + visits + "{{/a}}", "{{=< >=}}<#a><#a><#a><#a></a></a></a></a>"};
+  for (const std::string& text : templates)
+    EXPECT_THROW(search::render_template(json::Value(text), values, 1 << 20, {}), search::ApiError);
+  const json::Value rendered = search::render_template(
+      json::Value(std::string(R"({"terms":[{{#a}}"{{.}}",{{/a}}"end"]})")), values, 1 << 20, {});
+  EXPECT_EQ(rendered.find("terms")->array()->size(), 1001u);
+}
+
 TEST(Templates, EscapeValuesAndBoundOutput) {
   const auto render = [](const char* source, const char* parameters) {
     return json::write(render_template(Value(source), parsed(parameters), 500, {}));
--- a/tests/stand_ins.cpp
+++ b/tests/stand_ins.cpp
@@ -87,16 +87,18 @@
 Task<void> FakeNode::serve_frames(ConnectionPtr connection) {
   frames::Reader reader(1 << 20);
   std::vector<char> chunk(4096);
+  const auto answers = std::make_shared<Answers>(scheduler_);
+  scheduler_.spawn(write_answers(connection, answers));
   for (;;) {
     const IoResult got = co_await connection->read_some(chunk);
-    if (got.status != IoStatus::ok) co_return;
+    if (got.status != IoStatus::ok) co_return answers->put(std::nullopt);
     reader.feed({chunk.data(), got.bytes});
     while (const auto frame = reader.next()) {
       if (frame->type == frames::kCancel) cancelled_ids.push_back(frame->payload);
       if (frame->type != frames::kCall) continue;
       const auto parts = frames::decode_call(frame->payload);
       EXPECT_TRUE(parts) << frame->payload;
-      if (!parts) co_return;
+      if (!parts) co_return answers->put(std::nullopt);
       ++calls_;
       for (const frames::CallPart& part : *parts) {
         ReceivedPart received_part;
@@ -114,13 +116,20 @@
           if (name == "whole") received_part.whole = value;
         }
         received.push_back(received_part);
-        scheduler_.spawn(answer_frame(connection, std::move(received_part)));
+        scheduler_.spawn(answer_frame(connection, answers, std::move(received_part)));
       }
     }
   }
 }
 
-Task<void> FakeNode::answer_frame(ConnectionPtr connection, ReceivedPart part) {
+// A stream allows one writer at a time, and parts are answered concurrently.
+Task<void> FakeNode::write_answers(ConnectionPtr connection, std::shared_ptr<Answers> answers) {
+  while (const std::optional<std::string> bytes = *co_await answers->take())
+    co_await connection->write_all(*bytes);
+}
+
+Task<void> FakeNode::answer_frame(ConnectionPtr connection, std::shared_ptr<Answers> answers,
+                                  ReceivedPart part) {
   const NodeReply answer = on_part(part);
   if (answer.delay > Duration::zero()) co_await scheduler_.sleep_until(Clock::now() + answer.delay);
   if (answer.kind == NodeReply::Kind::silent) co_return;
@@ -139,7 +148,7 @@
   if (out.outcome == 'S') out.value = answer.value.empty() ? hits_of(part.shard, answer.score) : answer.value;
   std::string bytes = frames::encode_answer(out);
   if (answer.corrupt) bytes = answer.corrupt(bytes);
-  co_await connection->write_all(bytes);
+  answers->put(std::move(bytes));
 }
 
 Task<void> FakeNode::serve_http(ConnectionPtr connection) {
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -70,7 +70,9 @@
   Task<void> serve(ConnectionPtr connection);
   Task<void> serve_frames(ConnectionPtr connection);
   Task<void> serve_http(ConnectionPtr connection);
-  Task<void> answer_frame(ConnectionPtr connection, ReceivedPart part);
+  using Answers = Mailbox<std::optional<std::string>>;  // empty: the connection has ended
+  Task<void> write_answers(ConnectionPtr connection, std::shared_ptr<Answers> answers);
+  Task<void> answer_frame(ConnectionPtr connection, std::shared_ptr<Answers> answers, ReceivedPart part);
   std::vector<ReceivedPart> parts_of(const http::Request& request);
   Task<bool> stream_multi_search(ConnectionPtr connection, std::vector<ReceivedPart> parts);
   static json::Value body_for(const ReceivedPart& part, const NodeReply& answer);
