--- a/include/kelpdeal/http_server.h
+++ b/include/kelpdeal/http_server.h
@@ -65,10 +65,11 @@
 
  private:
   struct Connection {
-    Connection(std::unique_ptr<Stream> stream, const http::Bounds& bounds)
-        : stream(std::move(stream)), parser(bounds) {}
+    Connection(Scheduler& scheduler, std::unique_ptr<Stream> stream, const http::Bounds& bounds)
+        : stream(std::move(stream)), parser(bounds), pause(scheduler) {}
     std::unique_ptr<Stream> stream;
     http::Parser<http::Request> parser;
+    Parker pause;  // delays the next request after a malformed one
     TimePoint connected_at = Clock::now();
     TimePoint state_since = connected_at;  // start of the current state
     // silent: connected, but nothing has been received yet. lingering: see close_gracefully().
@@ -84,6 +85,15 @@
       state_since = Clock::now();
     }
     bool awaiting_request() const { return state == State::silent || state == State::idle; }
+    // Whether a request, or a part of one, has arrived that has not been served.
+    bool has_input() const { return !parser.idle() || stream->has_input(); }
+    // Whether the connection is to be closed instead of waiting for more of a request.
+    bool must_close() const { return evicted || (close_if_idle && !has_input()); }
+    // Ends the wait of the connection's coroutine, whichever it is in, so that it sees must_close().
+    void interrupt() {
+      stream->interrupt();
+      pause.wake(WakeReason::cancelled);
+    }
   };
   using ConnectionPosition = std::list<Connection>::iterator;
   Task<void> accept_connections();
--- a/include/kelpdeal/peers/links.h
+++ b/include/kelpdeal/peers/links.h
@@ -93,6 +93,7 @@
     std::uint64_t number = 0, incarnation = 0, sent = 0, received = 0;
     Duration backoff{};
     bool up = false, broken = false;
+    bool peer_reachable = false;  // it has connected to this member since the last attempt to connect to it
     std::unique_ptr<Stream> stream;
   };
   Task<void> connect_loop(std::string peer);
--- a/include/kelpdeal/socket.h
+++ b/include/kelpdeal/socket.h
@@ -55,7 +55,7 @@
   void finish_writing();
   // Cancels every current and future operation on this stream.
   void cancel();
-  // Cancels the read that is waiting, if any. Later reads are not affected.
+  // Cancels the read and the write that are waiting, if any. Later ones are not affected.
   void interrupt();
   // The peer's address.
   Address peer() const;
--- a/src/front/http_server.cpp
+++ b/src/front/http_server.cpp
@@ -39,7 +39,7 @@
 
 void HttpServer::add_connection(std::unique_ptr<Stream> stream) {
   metrics_.count("clients.connections");
-  connections_.emplace_back(std::move(stream), limits_.http);
+  connections_.emplace_back(scheduler_, std::move(stream), limits_.http);
   connections_.back().parser.stop_at_head();
   scheduler_.spawn(serve_connection(std::prev(connections_.end())));
 }
@@ -60,9 +60,9 @@
   metrics_.count("clients.shed_idle", evict(std::move(idle), max_count));
 }
 
-// Evicts up to a sixteenth of the connection limit, in this order: connections that have had their last
-// response, new ones that have sent nothing, requests that are received too slowly, idle connections. True if
-// connections are being closed.
+// Evicts up to a sixteenth of the connection limit, those that are still being closed included, in this
+// order: connections that have had their last response, new ones that have sent nothing, requests that are
+// received too slowly, idle connections. True if connections are being closed.
 bool HttpServer::evict_for_capacity() {
   using State = Connection::State;
   const TimePoint now = Clock::now();
@@ -74,21 +74,21 @@
     return c.state == State::idle ? 3 : kKeep;
   };
   std::vector<Candidate> candidates;
+  std::size_t pending_count = 0;
   for (Connection& c : connections_) {
-    if (c.evicted) {  // an earlier eviction is still in progress
-      metrics_.count("clients.evictions_pending");
-      return true;
-    }
-    if (const int priority = retention_priority(c); priority < kKeep)
-      candidates.emplace_back(priority, c.state_since, &c);
+    const int priority = retention_priority(c);
+    pending_count += c.evicted;
+    if (!c.evicted && priority < kKeep) candidates.emplace_back(priority, c.state_since, &c);
   }
-  const std::size_t evicted_count =
-      evict(std::move(candidates), eviction_batch_size(limits_.max_client_connections));
+  const std::size_t batch_size = eviction_batch_size(limits_.max_client_connections);
+  metrics_.count("clients.evictions_pending", pending_count);
+  if (pending_count >= batch_size) return true;
+  const std::size_t evicted_count = evict(std::move(candidates), batch_size - pending_count);
   metrics_.log("descriptors", evicted_count > 0
                                   ? "client connection limit reached; evicted idle or slow connections"
                                   : "client connection limit reached; no connection can be evicted");
   metrics_.count("clients.shed", evicted_count);
-  return evicted_count > 0;
+  return pending_count + evicted_count > 0;
 }
 
 // Evicts at most `max_count` candidates in order of priority, except those with unread input, and returns the
@@ -101,9 +101,9 @@
   for (; evicted_count < max_count && !candidates.empty(); candidates.pop_back()) {
     std::pop_heap(candidates.begin(), candidates.end(), lower_priority_first);
     Connection& candidate = *std::get<Connection*>(candidates.back());
-    if (candidate.awaiting_request() && candidate.stream->has_input()) continue;
+    if (candidate.awaiting_request() && candidate.has_input()) continue;
     candidate.evicted = true;
-    candidate.stream->interrupt();
+    candidate.interrupt();
     ++evicted_count;
   }
   return evicted_count;
@@ -132,7 +132,7 @@
   for (Connection& connection : connections_) {
     if (!connection.awaiting_request()) continue;
     connection.close_if_idle = true;  // a request that has already arrived is served first
-    if (!connection.stream->has_input()) connection.stream->interrupt();
+    if (!connection.has_input()) connection.interrupt();
   }
 }
 
@@ -145,7 +145,9 @@
 
 void HttpServer::join() {
   leave_timer_.cancel();
-  if (!draining_) close_after_response_ = false;
+  if (draining_) return;
+  close_after_response_ = false;
+  for (Connection& connection : connections_) connection.close_if_idle = false;
 }
 
 Task<void> HttpServer::serve_connection(ConnectionPosition position) {
@@ -242,13 +244,11 @@
   using State = Connection::State;
   const bool first = connection.state == State::silent;
   http::State state = advance(connection);
-  if ((connection.evicted || connection.close_if_idle) && state == http::State::more &&
-      connection.parser.idle() && !connection.stream->has_input())
-    co_return false;
   TimePoint deadline = first ? connection.connected_at + limits_.first_request_timeout
                              : Clock::now() + limits_.client_idle_timeout;
   TimePoint received = Clock::now();
   while (state == http::State::more) {
+    if (connection.must_close()) co_return false;
     if (!connection.parser.idle() && connection.awaiting_request()) {
       connection.enter(State::reading);
       if (!first) deadline = Clock::now() + limits_.client_read_timeout;
@@ -292,12 +292,12 @@
   connection.enter(State::idle);
   // Slows down a client that repeats a malformed request: the response is sent at once, but the next request
   // is read only after a pause.
-  if (malformed) co_await scheduler_.sleep_until(Clock::now() + limits_.malformed_request_delay);
+  if (malformed) co_await connection.pause.park(Clock::now() + limits_.malformed_request_delay);
   co_return true;
 }
 
 Task<void> HttpServer::send_response(Connection& connection, http::Response response) {
-  connection.closing |= close_after_response_;
+  connection.closing |= close_after_response_ || connection.evicted;
   if (connection.closing) response.headers.fields.emplace_back("Connection", "close");
   metrics_.count("clients.status_" + std::to_string(response.status));
   const IoResult write_result = co_await connection.stream->write_all(
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -344,6 +344,7 @@
     if (error.status == 429) limiter.on_refused(Clock::now(), error.retry_after);
   }
   out = json::Object{{write->action_name, std::move(item)}};
+  limiter.on_ended();  // here and not by the bulk, which may be waiting for its client
   done.put(1);
 }
 
@@ -438,7 +439,7 @@
       }
       // Pauses reading until the item may start.
       while (!limiter.can_start() && !bulk_caller.cancelled())
-        if (co_await done.take(Clock::now() + Milliseconds(20))) limiter.on_ended();
+        co_await done.take(Clock::now() + Milliseconds(20));
       if (const Duration retry_after = limiter.backoff_remaining(Clock::now());
           retry_after > Duration::zero()) {
         add_refused_item(*item, {429, "rejected_execution_exception", "refused: overload", {}, retry_after});
@@ -473,10 +474,7 @@
           {},
           {}};
   }
-  while (limiter.in_flight() > 0) {
-    co_await done.take();
-    limiter.on_ended();
-  }
+  while (limiter.in_flight() > 0) co_await done.take();
   if (!bulk_error && reader.awaiting_document() && body.complete())
     bulk_error =
         ApiError{400,
--- a/src/node/frames/frame_transport.cpp
+++ b/src/node/frames/frame_transport.cpp
@@ -75,6 +75,10 @@
     });
   }
   bool idle() const { return queue.empty() && being_written.empty() && in_flight.empty() && probes.empty(); }
+  void retire() {
+    retired = true;
+    if (idle()) cancel();  // its reader and its writer wait, and would not see it
+  }
   void cancel() {
     ended = true;
     if (stream) stream->cancel();
@@ -98,7 +102,7 @@
   const auto address = Address::parse(entry.endpoint);
   if (!address) return metrics_.log("discovery", "node " + entry.uid + " has no usable endpoint");
   if (node.address && node.address->text() != address->text())
-    for (const ConnectionPtr& connection : node.connections) connection->retired = true;
+    for (const ConnectionPtr& connection : node.connections) connection->retire();
   node.address = address;
 }
 
@@ -252,10 +256,7 @@
   const auto node = nodes_.find(id);
   if (node == nodes_.end()) return;
   node->second.left = true;
-  for (const ConnectionPtr& connection : node->second.connections) {
-    connection->retired = true;
-    if (connection->idle()) connection->cancel();
-  }
+  for (const ConnectionPtr& connection : node->second.connections) connection->retire();
   if (node->second.connections.empty()) nodes_.erase(node);
 }
 
--- a/src/peers/links.cpp
+++ b/src/peers/links.cpp
@@ -157,6 +157,7 @@
 Task<void> Links::connect_loop(std::string peer) {
   Link& link = *links_.find(peer)->second;
   while (!stopped_) {
+    link.peer_reachable = false;
     link.stream = co_await connect(scheduler_, link.address, Clock::now() + bounds_.connect_timeout);
     link.broken = false;
     if (link.stream && co_await handshake(peer, link)) {
@@ -203,9 +204,11 @@
     // in step.
     link.backoff = std::min(std::max(2 * link.backoff, bounds_.min_backoff), bounds_.max_backoff);
     const double share = std::uniform_real_distribution<>(0.25, 1)(random_);
-    // A peer that connects to this member is reachable again, so the rest of the delay is skipped.
-    if (co_await link.backoff_delay.park(Clock::now() + to_duration(FractionalMs(link.backoff) * share)) ==
-        WakeReason::ready)
+    // A peer that connects to this member is reachable again, so the delay or its rest is skipped. It may
+    // have done so while the last attempt was still being made.
+    if (link.peer_reachable ||
+        co_await link.backoff_delay.park(Clock::now() + to_duration(FractionalMs(link.backoff) * share)) ==
+            WakeReason::ready)
       link.backoff = {};
   }
 }
@@ -241,7 +244,10 @@
       if ((co_await stream.write_all(answer, Clock::now() + bounds_.write_timeout)).status != IoStatus::ok)
         break;
       if (const auto it = links_.find(peer); it != links_.end()) link = it->second.get();
-      if (link) link->backoff_delay.wake();
+      if (link) {
+        link->peer_reachable = true;
+        link->backoff_delay.wake();
+      }
     } else {
       if (envelope->from != peer) break;
       metrics_.count("peers.received");
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -100,7 +100,10 @@
   writer_.wake(WakeReason::cancelled);
 }
 
-void Stream::interrupt() { reader_.wake(WakeReason::cancelled); }
+void Stream::interrupt() {
+  reader_.wake(WakeReason::cancelled);
+  writer_.wake(WakeReason::cancelled);
+}
 
 bool Stream::peer_closed() const {
   if (hung_up_) return true;
--- a/tests/socket_fixtures.h
+++ b/tests/socket_fixtures.h
@@ -63,11 +63,12 @@
 }
 
 struct CountingHandler : HttpHandler {
-  Task<http::Response> handle(http::Request, CancellationToken& caller, TimePoint) override {
+  Task<http::Response> handle(http::Request request, CancellationToken& caller, TimePoint) override {
     ++handled;
     disconnected += caller.cancelled();
     if (while_handling) std::exchange(while_handling, nullptr)();
     http::Response response;
+    response.status = request.target == "/unknown" ? 404 : 200;
     response.body = "answer";
     co_return response;
   }
@@ -81,6 +82,7 @@
 };
 
 inline const std::string kRequest = "POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nab";
+inline const std::string kMalformedRequest = "GET /unknown HTTP/1.1\r\n\r\n";  // answered with 404
 
 struct ServerFixture {
   explicit ServerFixture(std::function<void(Limits&)> adjust = {})
