--- a/include/kelpdeal/connect_backoff.h
+++ b/include/kelpdeal/connect_backoff.h
@@ -19,13 +19,15 @@
 
 namespace kelpdeal {
 
+// The connects to one node.
 class ConnectBackoff {
  public:
+  // Intervals between connects, and their timeout.
   struct Bounds {
     Duration min_interval = Milliseconds(100);  // after the first failure
     Duration max_interval = Milliseconds(5'000);
     Duration timeout = Milliseconds(250);  // of a connect; settings: limits.dialTimeoutMs
-    std::uint64_t seed = 0;                // differs between coordinators, so that their retries do
+    std::uint64_t seed = 0;  // differs between coordinators, so that their retries do not coincide
   };
   ConnectBackoff(const Bounds& bounds, std::uint64_t node)
       : bounds_(bounds), random_(static_cast<std::minstd_rand::result_type>(bounds.seed ^ (node << 8))) {}
--- a/include/kelpdeal/membership/membership.h
+++ b/include/kelpdeal/membership/membership.h
@@ -41,6 +41,7 @@
   bool operator==(const MemberUpdate&) const = default;
 };
 
+// What members send each other to probe one another and to spread updates.
 struct Message {
   enum class Kind : std::uint8_t {
     ping,           // requests an ack; `target`, if set, is the member on whose behalf it is sent
@@ -50,7 +51,7 @@
   };
   Kind kind = Kind::ping;
   std::uint64_t number = 0;  // of the probe it belongs to, as counted by the prober
-  std::string target;        // of the last two kinds, and of an ack for an indirect probe
+  std::string target;        // of a probe_request, a nack, and an ack for an indirect probe
   // The updates are everything the sender knows, and a ping asks for everything the receiver knows. Sent by a
   // member that has just started, or to one that it considered dead.
   bool full_state = false;
@@ -67,6 +68,7 @@
   } replica_status;
 };
 
+// Periods, counts and timeouts of the protocol.
 struct Bounds {
   Duration probe_period = std::chrono::seconds(1);  // one probe per period
   // Without an ack by then, others are asked to probe too.
@@ -76,13 +78,14 @@
   double retransmit_factor = 4;  // each update is sent this many times the logarithm of the fleet's size
   // Periods, times that logarithm, until a suspicion that is not refuted becomes a death.
   double suspicion_factor = 4;
-  // ... and this many times longer while fewer than `confirmations` others report it too
+  // A suspicion lasts this many times longer while fewer than `confirmations` others report it too.
   double unconfirmed_factor = 3;
   std::size_t confirmations = 3;
   int max_health_score = 8;  // upper limit of the local health score; timeouts grow up to 1 + this
   // A timer that fires later than this indicates a local problem.
   Duration late_timer_threshold = std::chrono::milliseconds(250);
-  // A started member requests the full state again after this many periods and after three times as many.
+  // A member that has just started requests the full state again after this many periods and after three
+  // times as many.
   std::size_t resync_periods = 3;
   // Every this many periods a dead member is probed, as a partition may have healed.
   std::size_t dead_probe_interval = 8;
@@ -107,6 +110,8 @@
 };
 using Action = std::variant<Send, MemberChanged, Displaced>;
 
+// One member's view of the fleet: what it knows of the others, whom it probes next, and which updates it
+// spreads.
 class Membership {
  public:
   Membership(std::string name, std::uint64_t incarnation, const Bounds& bounds, std::uint64_t seed);
--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -18,13 +18,15 @@
 
 namespace kelpdeal::search {
 
+// Bounds of the aggregations of one request and of their result.
 struct AggregationBounds {
-  std::size_t max_depth = 6;
+  std::size_t max_depth = 6;            // of nested aggregations
   std::size_t max_aggregations = 200;   // per request, nested ones included
   std::size_t max_buckets = 65'536;     // per response
   std::size_t max_shard_size = 20'000;  // requested from one slice by one terms aggregation
 };
 
+// One aggregation of a request, checked, with those nested in it.
 struct Aggregation {
   enum class Kind {
     terms,
@@ -41,6 +43,7 @@
     stats,
     extended_stats
   };
+  // One criterion by which buckets are sorted.
   struct Order {
     std::vector<std::string> path;  // names of nested aggregations; empty for _key and _count
     std::string value;              // _key, _count, or the name of a metric's value
@@ -54,9 +57,10 @@
   std::size_t size = 10, shard_size = 0;  // terms
   std::uint64_t min_doc_count = 0;        // terms, histograms
   std::vector<Order> order;               // terms, histograms
-  bool keyed = false, show_doc_count_error = false;
+  bool keyed = false;                     // buckets as members of an object instead of a list
+  bool show_doc_count_error = false;      // terms
   std::vector<std::string> filter_names;  // filters: their names; empty for anonymous filters
-  bool other_bucket = false;
+  bool other_bucket = false;              // filters: with a bucket for the documents that match none of them
   std::string other_key = "_other_";
   std::size_t filter_count = 0;
   // Histograms. For dates, values are in milliseconds.
@@ -79,6 +83,7 @@
 // The aggregations in the form sent to each slice.
 json::Object aggregations_for_slice(const Aggregations& aggregations);
 
+// Merges the aggregation results of the slices into one result.
 class AggregationReducer {
  public:
   AggregationReducer(const Aggregations& specs, const AggregationBounds& bounds);
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -18,7 +18,6 @@
   bool has_action_line = false;  // the node receives an action line before the document
   std::optional<Duration> timeout;
   std::string action_name;  // action name of a bulk item
-  std::string problem;      // why the write is invalid
 };
 
 OpenSearchFront::Write OpenSearchFront::prepare_write(const std::string& index_name, const std::string& id,
@@ -180,15 +179,13 @@
     out.emplace_back("found", false);
     co_return out;
   }
-  json::Scanner walk(result.page.hits.front().raw()->text);
+  const std::string_view hit = result.page.hits.front().raw()->text;
   for (const char* name : {"_version", "_seq_no", "_primary_term"})
-    if (const auto value = json::member(result.page.hits.front().raw()->text, name))
-      out.emplace_back(name, json::Raw{std::string(*value)});
+    if (const auto value = json::member(hit, name)) out.emplace_back(name, json::Raw{std::string(*value)});
   if (!routing.empty()) out.emplace_back("_routing", routing);
   out.emplace_back("found", true);
   for (const char* name : {"_source", "fields"})
-    if (const auto value = json::member(result.page.hits.front().raw()->text, name))
-      out.emplace_back(name, json::Raw{std::string(*value)});
+    if (const auto value = json::member(hit, name)) out.emplace_back(name, json::Raw{std::string(*value)});
   co_return out;
 }
 
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -137,9 +137,10 @@
   const auto hits = json::member(text, "hits");
   const auto list = hits ? json::member(*hits, "hits") : std::nullopt;
   const auto best = hits ? json::member(*hits, "max_score") : std::nullopt;
-  if (best)
-    result.score =
-        json::parse(*best, error).value_or(json::Value()).number() ? *json::parse(*best, error)->number() : 0;
+  if (best) {
+    const json::Value score = json::parse(*best, error).value_or(json::Value());
+    result.score = score.number() ? *score.number() : 0;
+  }
   // A complete search answer can be merged with others; otherwise only the list of hits is passed on.
   const bool complete = hits && json::member(*hits, "total");
   result.value = complete || !list ? text : *list;
