JSON: a large number with a fraction is not written as another integer

Change: such digits get ".0"; integer() leaves doubles of 2^53 out. Related: write_pretty uses the same function; Raw and integers up to 64 bits are never converted (sound).

Failing before: Json.LargeNumbersParseBackToTheSameValue with four of its nine numbers.

--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -27,7 +27,7 @@
 std::optional<std::int64_t> Value::integer() const {
   if (const ExactInteger* exact = std::get_if<ExactInteger>(&data_)) return exact->value;
   const double* number = std::get_if<double>(&data_);
-  if (!number || std::abs(*number) > kExactInDouble || *number != std::floor(*number)) return std::nullopt;
+  if (!number || std::abs(*number) >= kExactInDouble || *number != std::floor(*number)) return std::nullopt;
   return static_cast<std::int64_t>(*number);
 }
 
@@ -291,6 +291,12 @@
   char buffer[32];
   const auto got = std::to_chars(buffer, buffer + sizeof buffer, number);
   out.append(buffer, got.ptr);
+  // The shortest digits of a large number are not its exact value, but as an integer they would be read as
+  // such.
+  std::int64_t integer = 0;
+  const auto read = std::from_chars(buffer, got.ptr, integer);
+  const bool read_as_integer = read.ec == std::errc() && read.ptr == got.ptr;
+  if (read_as_integer && std::abs(number) >= kExactInDouble) out += ".0";
 }
 
 // Appends a value that is neither an array nor an object; false for those.
--- a/tests/parse_test.cpp
+++ b/tests/parse_test.cpp
@@ -30,6 +30,20 @@
   }
 }
 
+// Guards against a large number with a fraction that is written as another integer (found by fuzz_json).
+TEST(Json, LargeNumbersParseBackToTheSameValue) {
+  for (const char* text :
+       {"99999999990071992.47", "9007199254740993.5", "-99999999990071992.47", "1e17", "1e300",
+        "99999999990071992", "9223372036854775807", "18446744073709551615", "9007199254740992.0"}) {
+    std::string error;
+    const auto value = json::parse(text, error);
+    ASSERT_TRUE(value) << text;
+    const std::string written = json::write(*value);
+    const auto again = json::parse(written, error);
+    EXPECT_TRUE(again && *again == *value) << text << " was written as " << written;
+  }
+}
+
 TEST(Json, InvalidTextIsRejectedWithReason) {
   const std::pair<std::string, const char*> cases[] = {
       {"", "ends too soon"},
