--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,5 +1,5 @@
-// One bad client sends one unusable template to the search front. The usual clients of the platform's front go
-// on asking; each of their queries has to get its final answer in its time.
+// One bad client sends one unusable template to the search front. The usual clients of the platform's front
+// go on asking; each of their queries has to get its final answer in its time.
 #include "case.h"
 
 using namespace review;
@@ -7,7 +7,9 @@
 int main(int argc, char** argv) {
   const bool trouble = begin(argc, argv, 110);
   Discovery discovery;
-  Nodes nodes(12, discovery, [](const Part& part) { return Reply{'S', 60, "5be2a07c" + std::to_string(part.shard)}; });
+  Nodes nodes(12, discovery, [](const Part& part) {
+    return Reply{'S', 60, "5be2a07c" + std::to_string(part.shard)};
+  });
   for (const char* name : {"openapi.json", "asyncapi.json"})
     std::ofstream(folder + "/" + name) << file_text(std::string("deploy/") + name);
   std::ofstream(folder + "/front.json")
@@ -28,7 +30,8 @@
         for (int k = 0; k < 50'000; ++k) source += "{{#a}}";
         for (int k = 0; k < 50'000; ++k) source += "{{/a}}";
         record("a bad client sends its template, %zu bytes", source.size());
-        const Outcome outcome = ask(search, http_request("POST", "/_render/template", "{\"source\":\"" + source + "\"}"), 3000);
+        const Outcome outcome =
+            ask(search, http_request("POST", "/_render/template", "{\"source\":\"" + source + "\"}"), 3000);
         record("the bad client got status %d after %.0f ms", outcome.status, outcome.took_ms);
       });
     clients.emplace_back([&, i] {
@@ -36,7 +39,8 @@
       const int first = i % 22;
       const double sent = now_ms();
       const Outcome outcome =
-          ask(coordinator.address, query("equipment-search", {first, first + 1, first + 2}, kBudgetMs, id), 60'000);
+          ask(coordinator.address, query("equipment-search", {first, first + 1, first + 2}, kBudgetMs, id),
+              60'000);
       // Half a second after its time it is lost; 50 ms are the sockets' slack.
       const bool in_time = outcome.status != 0 && outcome.took_ms <= kBudgetMs + 550;
       ++(outcome.status == 0 ? never : in_time ? answered : late);
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
-// A client records two results of one building in a bulk under one Idempotency-Key. The record nodes' queues are
-// full for the second, which is refused; the client sends what was refused again, alone, under the same key.
-// What the client is told was recorded has to be recorded.
+// A client records two results of one building in a bulk under one Idempotency-Key. The record nodes' queues
+// are full for the second, which is refused; the client sends what was refused again, alone, under the same
+// key. What the client is told was recorded has to be recorded.
 #include "case.h"
 
 using namespace review;
@@ -26,10 +26,11 @@
   const std::lock_guard lock(mutex);
   const std::string id = member_of(part.text, "unit");
   const auto say = [&](const char* what) {
-    record("node %d, shard %d, part %s, k=%s, unit %s: %s", part.node, part.shard, part.id.c_str(), part.key.c_str(),
-           id.c_str(), what);
+    record("node %d, shard %d, part %s, k=%s, unit %s: %s", part.node, part.shard, part.id.c_str(),
+           part.key.c_str(), id.c_str(), what);
   };
-  if (now_ms() < full_until && std::exchange(place_taken, true)) return say("turned away, queue full"), Reply{'B', 1, ""};
+  if (now_ms() < full_until && std::exchange(place_taken, true))
+    return say("turned away, queue full"), Reply{'B', 1, ""};
   const auto before = ran_at.find({part.key, part.shard});
   if (before != ran_at.end() && now_ms() - before->second < 4000)
     return say("dropped: a repeat of this key"), Reply{'S', 5, "{\"result\":\"created\"}"};
@@ -49,10 +50,12 @@
 void send_bulk(const std::string& address, const std::string& key, std::vector<Item*> items) {
   std::string body;
   for (const Item* item : items) body += item->line;
-  const Outcome outcome = ask(address, http_request("POST", "/inspection-log/_bulk?routing=building-7", body,
-                                                    {{"X-Team", "inspectors"},
-                                                     {"Idempotency-Key", key},
-                                                     {"Content-Type", "application/x-ndjson"}}), 10'000);
+  const Outcome outcome =
+      ask(address,
+          http_request(
+              "POST", "/inspection-log/_bulk?routing=building-7", body,
+              {{"X-Team", "inspectors"}, {"Idempotency-Key", key}, {"Content-Type", "application/x-ndjson"}}),
+          10'000);
   std::size_t at = outcome.body.find("\"items\":");
   for (Item* item : items) {
     const std::size_t begin = at == std::string::npos ? at : outcome.body.find("{\"index\":{", at);
@@ -84,7 +87,8 @@
     std::vector<Item> items;
     for (const char* unit : {"A", "B"}) {
       const std::string name = "R-10" + std::to_string(round) + unit;
-      items.push_back({name, "{\"index\":{\"_id\":\"" + name + "\"}}\n{\"unit\":\"" + name + "\",\"result\":\"passed\"}\n"});
+      items.push_back({name, "{\"index\":{\"_id\":\"" + name + "\"}}\n{\"unit\":\"" + name +
+                                 "\",\"result\":\"passed\"}\n"});
     }
     {
       // A burst of others' traffic: one place is left at the holders, and none for 2.2 s.
@@ -98,7 +102,8 @@
       std::vector<Item*> again;
       double wait = 0;
       for (Item& item : items)
-        if (item.status == 429 || item.status == 504) again.push_back(&item), wait = std::max(wait, item.retry_after_ms);
+        if (item.status == 429 || item.status == 504)
+          again.push_back(&item), wait = std::max(wait, item.retry_after_ms);
       if (again.empty()) break;
       sleep_ms(std::clamp(wait, 600.0, 2000.0));
       send_bulk(search, key, again);
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,5 +1,5 @@
-// A client records a result without naming an id, under an Idempotency-Key. The coordinator is killed after the record
-// node has recorded it and before the answer; the client repeats the request under the same key.
+// A client records a result without naming an id, under an Idempotency-Key. The coordinator is killed after
+// the record node has recorded it and before the answer; the client repeats the request under the same key.
 #include "case.h"
 
 using namespace review;
@@ -8,7 +8,7 @@
 
 std::mutex mutex;
 std::map<std::pair<std::string, int>, double> ran_at;  // by key and shard: what a holder drops repeats by
-std::vector<std::string> recorded;                     // the result's number, once for each time it was recorded
+std::vector<std::string> recorded;  // the result's number, once for each time it was recorded
 std::atomic<int> runs{0};
 bool stand_still = false;
 
@@ -22,7 +22,8 @@
     sleep_ms(70);  // the work
     const std::lock_guard lock(mutex);
     const std::size_t at = part.text.find("result-");
-    const std::string number = at == std::string::npos ? "?" : part.text.substr(at, part.text.find('"', at) - at);
+    const std::string number =
+        at == std::string::npos ? "?" : part.text.substr(at, part.text.find('"', at) - at);
     std::string value = "{\"status\":201,\"result\":\"created\"}";
     const auto before = ran_at.find({part.key, part.shard});
     const bool repeat = before != ran_at.end() && now_ms() - before->second < 4000;
@@ -35,9 +36,9 @@
     // It stands still for 200 ms before its answer goes.
     return Reply{'S', stand_still ? 200.0 : 1.0, value};
   });
-  std::ofstream(folder + "/front.json")
-      << "{\"listen\":\"127.0.0.1:0\",\"node_api\":\"frames\",\"indices\":{\"results\":{\"class\":\"equipment-search\","
-         "\"write_class\":\"inspection-log\"}}}";
+  std::ofstream(folder + "/front.json") << "{\"listen\":\"127.0.0.1:0\",\"node_api\":\"frames\",\"indices\":{"
+                                           "\"results\":{\"class\":\"equipment-search\","
+                                           "\"write_class\":\"inspection-log\"}}}";
   const std::string extra = "--front " + folder + "/front.json";
   auto coordinator = std::make_unique<Coordinator>("n1", discovery, settings(12, 24), extra);
 
@@ -65,7 +66,8 @@
     for (int retry = 0; retry < 3 && outcome.status != 201 && outcome.status != 200; ++retry) {
       if (retry > 0) sleep_ms(600);
       outcome = ask(coordinator->search_address(), request, 6000);
-      record("client, key-%d, repeat %d: status %d %s", round, retry + 1, outcome.status, outcome.body.c_str());
+      record("client, key-%d, repeat %d: status %d %s", round, retry + 1, outcome.status,
+             outcome.body.c_str());
     }
     sleep_ms(300);
     const std::lock_guard lock(mutex);
--- a/review/stand_ins-2/case.h
+++ b/review/stand_ins-2/case.h
@@ -368,10 +368,12 @@
 class Nodes {
  public:
   using Handler = std::function<Reply(const Part&)>;
-  Nodes(int count, Discovery& discovery, Handler handler) : discovery_(discovery), handler_(std::move(handler)) {
+  Nodes(int count, Discovery& discovery, Handler handler)
+      : discovery_(discovery), handler_(std::move(handler)) {
     static const char* zones[] = {"derby", "leicester", "nottingham"};
     for (int i = 0; i < count; ++i) {
-      servers_.push_back(std::make_unique<Server>([this, i](SocketPtr socket) { serve(i, std::move(socket)); }));
+      servers_.push_back(
+          std::make_unique<Server>([this, i](SocketPtr socket) { serve(i, std::move(socket)); }));
       discovery.set(uid(i), {servers_.back()->address(), zones[i % 3], "in_service", i, 0, 0});
     }
   }
@@ -404,7 +406,10 @@
       for (;;) {
         if (buffer.size() < 4) break;
         std::uint32_t length = 0;
-        for (int i = 0; i < 4; ++i) length |= static_cast<std::uint32_t>(static_cast<unsigned char>(buffer[static_cast<std::size_t>(i)])) << (8 * i);
+        for (int i = 0; i < 4; ++i)
+          length |=
+              static_cast<std::uint32_t>(static_cast<unsigned char>(buffer[static_cast<std::size_t>(i)]))
+              << (8 * i);
         if (buffer.size() < 4 + length) break;
         const char letter = buffer[4];
         const std::string rest = buffer.substr(5, length - 1);
@@ -435,9 +440,9 @@
         const Reply reply = handler_(part);
         if (!reply.end) return;
         sleep_ms(reply.after_ms);
-        const std::string answer = frame('5', part.id + " " + reply.end + " " +
-                                                  std::to_string(static_cast<long>(reply.score)) + " -\n" +
-                                                  (reply.end == 'S' ? reply.value : ""));
+        const std::string answer =
+            frame('5', part.id + " " + reply.end + " " + std::to_string(static_cast<long>(reply.score)) +
+                           " -\n" + (reply.end == 'S' ? reply.value : ""));
         const std::lock_guard lock(*writing);
         socket->write(answer);
       }).detach();
@@ -451,12 +456,13 @@
 // ---- the coordinator ----
 // The settings of a small deployment: the classes, limits and guarantees of midlands-register.
 inline std::string settings(int cells, int shards) {
-  const auto grade = [](const char* name, const char* effect, int wanted, int given_up, int window, double late,
-                        double worth) {
+  const auto grade = [](const char* name, const char* effect, int wanted, int given_up, int window,
+                        double late, double worth) {
     std::ostringstream text;
-    text << "{\"name\":\"" << name << "\",\"effect\":\"" << effect << "\",\"group\":\"all\",\"sloMs\":" << wanted
-         << ",\"deadlineMs\":" << given_up << ",\"dedupWindowMs\":" << window << ",\"lateWorth\":" << late
-         << ",\"worth\":" << worth << ",\"stream\":false}";
+    text << "{\"name\":\"" << name << "\",\"effect\":\"" << effect
+         << "\",\"group\":\"all\",\"sloMs\":" << wanted << ",\"deadlineMs\":" << given_up
+         << ",\"dedupWindowMs\":" << window << ",\"lateWorth\":" << late << ",\"worth\":" << worth
+         << ",\"stream\":false}";
     return text.str();
   };
   std::ostringstream text;
@@ -501,9 +507,9 @@
                           << "\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\"known\":"
                           << discovery.whole_list() << ",\"settings\":" << settings_text << "}";
     const std::string command = deploy_command("run") + (extra.empty() ? "" : " " + extra);
-    variables.insert(variables.end(), {"GW_NAME=" + name, "GW_LISTEN=" + listen,
-                                       "GW_DISCOVERY=" + discovery.address(), "GW_CONFIG=" + config,
-                                       "TMPDIR=" + folder});
+    variables.insert(variables.end(),
+                     {"GW_NAME=" + name, "GW_LISTEN=" + listen, "GW_DISCOVERY=" + discovery.address(),
+                      "GW_CONFIG=" + config, "TMPDIR=" + folder});
     // Everything that allocates is done before the fork, as other threads run.
     std::vector<std::string> environment = variables;
     for (char** entry = environ; *entry; ++entry)
@@ -535,7 +541,8 @@
     record("started %s (%s)", name.c_str(), command.c_str());
     for (int tries = 0; tries < 1000; ++tries, sleep_ms(10)) {
       address = named_in_log("serves on ");
-      if (!address.empty() && ask(address, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 500).status == 200) return;
+      if (!address.empty() && ask(address, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 500).status == 200)
+        return;
       if (ended()) break;
     }
     finish(2, "the coordinator did not get ready: " + log());
@@ -598,7 +605,8 @@
   std::vector<std::pair<std::string, std::string>> headers = {
       {"X-Call-Id", id}, {"X-Call-Class", class_name}, {"X-Budget-Ms", std::to_string(budget_ms)}};
   if (!key.empty()) headers.emplace_back("Idempotency-Key", key);
-  return http_request("POST", "/" + class_name, "{\"slices\":[" + slices + "],\"filter\":\"c41e77d0\"}", headers);
+  return http_request("POST", "/" + class_name, "{\"slices\":[" + slices + "],\"filter\":\"c41e77d0\"}",
+                      headers);
 }
 
 inline std::string unique_id() {
