--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -25,10 +25,12 @@
   for (int i = 0; i < 80; ++i) {
     if (i == 20 && trouble)
       bad = std::thread([&search] {
-        // 600 KB, under the front's 1 MB for a body: sections inside sections, for a list of one.
+        // 600 KB, under the front's 1 MB for a body: sections inside sections, and one end too many, so that
+        // it cannot be read.
         std::string source;
         for (int k = 0; k < 50'000; ++k) source += "{{#a}}";
         for (int k = 0; k < 50'000; ++k) source += "{{/a}}";
+        source += "{{/b}}";
         record("a bad client sends its template, %zu bytes", source.size());
         const Outcome outcome =
             ask(search, http_request("POST", "/_render/template", "{\"source\":\"" + source + "\"}"), 3000);
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -82,7 +82,7 @@
   const std::string search = coordinator.search_address();
 
   int told = 0, missing = 0;
-  for (int round = 0; round < 5; ++round) {
+  for (int round = 0; round < 8; ++round) {
     const std::string key = "results-" + std::to_string(round);
     std::vector<Item> items;
     for (const char* unit : {"A", "B"}) {
--- a/review/stand_ins-2/case.h
+++ b/review/stand_ins-2/case.h
@@ -499,7 +499,8 @@
  public:
   // `extra`: arguments behind `run`; `variables`: NAME=VALUE.
   Coordinator(std::string name, Discovery& discovery, std::string settings_text, std::string extra = "",
-              std::vector<std::string> variables = {}, std::string listen = "127.0.0.1:0")
+              std::vector<std::string> variables = {}, std::string listen = "127.0.0.1:0",
+              int passed_socket = -1)
       : log_path_(folder + "/" + name + "-" + std::to_string(static_cast<long>(now_ms())) + ".log") {
     const std::string config = folder + "/" + name + ".json";
     std::ofstream(config) << "{\"name\":\"" << name << "\",\"discovery\":\"" << discovery.address()
@@ -527,6 +528,7 @@
       ::dup2(nothing, 0);
       ::dup2(log_fd, 1);
       ::dup2(log_fd, 2);
+      if (passed_socket >= 0) ::dup2(passed_socket, 4);
       ::execve("/bin/sh", arguments, pointers.data());
       ::_exit(127);
     }
