--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -107,6 +107,8 @@
 
   // A turn of the event loop that takes longer is counted and logged.
   Duration slow_turn_threshold = Milliseconds(100);
+  // Shorter turns do not count towards loop.longest_turn_us.
+  Duration measured_turn_threshold = Milliseconds(1);
 
   // Log: minimum time between two lines of the same kind; further lines are only counted.
   Duration log_interval = Milliseconds(1'000);
--- a/include/kelpdeal/metrics.h
+++ b/include/kelpdeal/metrics.h
@@ -16,6 +16,8 @@
   explicit Metrics(Duration log_interval) : log_interval_(log_interval) {}
 
   void count(std::string_view name, std::uint64_t increment = 1);
+  // Raises the value to `value` if it is lower: for maxima.
+  void raise(std::string_view name, std::uint64_t value);
   std::uint64_t value(std::string_view name) const;
   const std::map<std::string, std::uint64_t, std::less<>>& all() const { return counters_; }
   // "name value" lines, sorted by name.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -236,7 +236,10 @@
       components_->metrics.log("fault", e.what());
     }
   };
-  scheduler.on_slow_turn(components_->limits.slow_turn_threshold, [this](Duration took) {
+  scheduler.on_slow_turn(components_->limits.measured_turn_threshold, [this](Duration took) {
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(took).count();
+    components_->metrics.raise("loop.longest_turn_us", static_cast<std::uint64_t>(us));
+    if (took <= components_->limits.slow_turn_threshold) return;
     const auto ms = std::chrono::duration_cast<Milliseconds>(took).count();
     components_->metrics.log("loop", "one turn of the event loop took " + std::to_string(ms) + " ms");
   });
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -13,6 +13,10 @@
     counters_.emplace(name, increment);
 }
 
+void Metrics::raise(std::string_view name, std::uint64_t value) {
+  if (const std::uint64_t known = this->value(name); known < value) count(name, value - known);
+}
+
 std::uint64_t Metrics::value(std::string_view name) const {
   const auto it = counters_.find(name);
   return it == counters_.end() ? 0 : it->second;
