--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -245,7 +245,8 @@
     check(e.status >= 400 && e.status < 600 && !e.reason.empty(), "an error has a status and a reason");
   }
   try {
-    search::render_template(body, *parsed_body, 5000, {});
+    search::TemplateBudget budget;
+    search::render_template(body, *parsed_body, 5000, {}, budget);
   } catch (const search::ApiError&) {
   }
 }
--- a/include/kelpdeal/fleet/fleet.h
+++ b/include/kelpdeal/fleet/fleet.h
@@ -25,7 +25,7 @@
 #include "kelpdeal/replica/budget.h"
 #include "kelpdeal/replica/claims.h"
 #include "kelpdeal/scheduler.h"
-#include "kelpdeal/search/cursor.h"
+#include "kelpdeal/search/cursor_registry.h"
 
 namespace kelpdeal::fleet {
 
--- a/include/kelpdeal/frames.h
+++ b/include/kelpdeal/frames.h
@@ -10,6 +10,8 @@
 #include <string_view>
 #include <vector>
 
+#include "kelpdeal/receive_buffer.h"
+
 namespace kelpdeal::frames {
 
 // Frame types.
@@ -49,7 +51,7 @@
 class Reader {
  public:
   explicit Reader(std::size_t max_frame_bytes) : max_frame_bytes_(max_frame_bytes) {}
-  void feed(std::string_view bytes) { buffer_ += bytes; }
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
   // The next complete frame, if there is one.
   std::optional<Frame> next();
   // True once the stream is invalid: a frame's length is 0 or exceeds the bound, its type is unknown, or the
@@ -60,7 +62,7 @@
 
  private:
   std::size_t max_frame_bytes_;
-  std::string buffer_;
+  ReceiveBuffer buffer_;
   bool bad_ = false;
 };
 
--- a/include/kelpdeal/http.h
+++ b/include/kelpdeal/http.h
@@ -10,6 +10,8 @@
 #include <utility>
 #include <vector>
 
+#include "kelpdeal/receive_buffer.h"
+
 namespace kelpdeal::http {
 
 struct Headers {
@@ -56,7 +58,7 @@
  public:
   explicit Parser(Bounds bounds) : bounds_(bounds) {}
 
-  void feed(std::string_view bytes) { buffer_ += bytes; }
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
   // Parses as much of the input as possible. After State::done, take() returns the message and starts the
   // next one.
   State advance();
@@ -99,7 +101,7 @@
   bool parse_framing();
 
   Bounds bounds_;
-  std::string buffer_;
+  ReceiveBuffer buffer_;
   Message message_;
   Stage stage_ = Stage::start;
   // remaining_: bytes left of the body or chunk; while lines are parsed, the length of the current line.
--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -136,8 +136,11 @@
   bool done() const { return done_; }
 
  private:
+  void discard_consumed();
+
   std::string member_, buffer_, key_;
   std::size_t max_bytes_, at_ = 0, bytes_outside_items_ = 0;
+  std::size_t outside_start_ = 0;  // start of the current text outside items
   std::size_t depth_ = 0;          // number of open brackets
   std::size_t item_start_ = npos;  // start of the current item
   bool in_string_ = false, escaped_ = false, in_list_ = false, value_next_ = false;
@@ -147,8 +150,9 @@
 };
 
 std::string write(const Value& value);
-// On several lines, indented by two spaces.
-std::string write_pretty(const Value& value);
+// On several lines, indented by two spaces; on one line if that would take more than `max_bytes`, as the
+// spaces can make up most of a deeply nested text.
+std::string write_pretty(const Value& value, std::size_t max_bytes = 16 << 20);
 // A quoted and escaped JSON string.
 std::string quote(std::string_view text);
 
--- a/include/kelpdeal/limits.h
+++ b/include/kelpdeal/limits.h
@@ -29,8 +29,10 @@
   std::size_t max_bulk_items = 10'000;          // further items are refused without being parsed
   std::size_t max_multi_searches = 200;         // searches in one multi-search
   std::size_t max_multi_get_documents = 1'000;  // documents in one multi-get
-  std::size_t max_fanout = 48;                  // items of multi-item requests in progress, over all requests
-  std::size_t max_fanout_per_request = 16;      // the same for one request
+  std::size_t max_multi_get_default_bytes =
+      4 << 20;                              // fields and routing for all documents, times their number
+  std::size_t max_fanout = 48;              // items of multi-item requests in progress, over all requests
+  std::size_t max_fanout_per_request = 16;  // the same for one request
   std::size_t max_cursors = 10'000, max_cursors_per_team = 500;
   std::size_t max_cursor_bytes = 32 * 1024;
   std::size_t read_chunk_bytes = 16 * 1024;
--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -17,10 +17,11 @@
 #include "kelpdeal/http_server.h"
 #include "kelpdeal/search/api_error.h"
 #include "kelpdeal/search/bulk.h"
-#include "kelpdeal/search/cursor.h"
+#include "kelpdeal/search/cursor_registry.h"
 #include "kelpdeal/search/fanout.h"
 #include "kelpdeal/search/request.h"
 #include "kelpdeal/search/tasks.h"
+#include "kelpdeal/search/template.h"
 
 namespace kelpdeal {
 
@@ -112,9 +113,12 @@
   Task<Answer> multi_search_template(Call& call, CancellationToken& caller);
   Task<Answer> render_template(Call& call, CancellationToken& caller);
   Task<Answer> run_multi_search(Call& call, bool templates, CancellationToken& caller);
-  Task<void> run_search_item(const Call& call, const json::Value& header, std::string body, bool is_template,
-                             CancellationToken& caller, Answer& outcome, std::size_t place,
-                             Mailbox<std::size_t>& done);
+  Task<void> run_search_item(const Call& call, const search::Parameters& shared_parameters,
+                             const json::Value& header, std::string body,
+                             search::TemplateBudget* template_budget, CancellationToken& caller,
+                             Answer& outcome, std::size_t place, Mailbox<std::size_t>& done);
+  json::Value rendered_body(const json::Value& body, search::TemplateBudget& budget) const;
+  json::Value rendered_body(const json::Value& body) const;
   Task<Answer> search_body(Call& call, const json::Value& body, CancellationToken& caller);
   struct SearchResult {
     search::Page page;
@@ -139,6 +143,7 @@
                                const Call& call, Duration keep_alive);
   std::vector<search::Target> targets_of(const search::Cursor& cursor) const;
   std::string encode_cursor(const search::Cursor& cursor) const;
+  std::size_t clear_all_cursors(const std::string& team, search::Cursor::Kind kind);
   void add_time_filters(const search::Cursor& cursor, opensearch::Plan& plan) const;
 
   // src/front/opensearch/document_calls.cpp
@@ -157,8 +162,9 @@
   Task<json::Object> fetch_document(const std::string& index, const std::string& id,
                                     const std::string& routing, const json::Value& source,
                                     const json::Value& stored, const Call& call, CancellationToken& caller);
-  Task<void> fetch_item(json::Value spec, const Call& call, CancellationToken& caller, json::Value& out,
-                        Mailbox<int>& done);
+  struct ReadDefaults;
+  Task<void> fetch_item(const json::Value& spec, const ReadDefaults& defaults, const Call& call,
+                        CancellationToken& caller, json::Value& out, Mailbox<int>& done);
   Write prepare_write(const std::string& index, const std::string& id, const std::string& routing,
                       bool create, std::string document, const std::string& key) const;
 
--- a/include/kelpdeal/peers/envelope.h
+++ b/include/kelpdeal/peers/envelope.h
@@ -16,6 +16,8 @@
 #include <utility>
 #include <vector>
 
+#include "kelpdeal/receive_buffer.h"
+
 namespace kelpdeal::peers {
 
 constexpr std::uint32_t kFormat = 1;        // written
@@ -70,7 +72,7 @@
 
  private:
   std::size_t max_bytes_;
-  std::string buffer_;
+  ReceiveBuffer buffer_;
   bool too_long_ = false;
 };
 
--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -24,8 +25,16 @@
   std::size_t max_aggregations = 200;   // per request, nested ones included
   std::size_t max_buckets = 65'536;     // per response
   std::size_t max_shard_size = 20'000;  // requested from one slice by one terms aggregation
+  std::size_t max_orders = 32;          // sort criteria of one aggregation
+  std::size_t max_format_bytes = 256;   // of a date format, which is written once for each bucket
+  // Buckets and nested results that are kept while the slices' results are merged.
+  std::size_t max_merged_results = 262'144;
+  std::size_t max_result_bytes = 48 << 20;  // memory of the merged result as it is rendered
 };
 
+// Histogram keys, including dates in milliseconds, must be smaller than this in absolute value.
+constexpr double kMaxHistogramKey = 8.64e15;
+
 // One aggregation of a request, checked, with those nested in it.
 struct Aggregation {
   enum class Kind {
@@ -52,6 +61,7 @@
   Kind kind = Kind::single_bucket;
   std::string name, type;  // type as in the request: "terms", "date_range", ...
   json::Value body, meta;
+  std::size_t meta_bytes = 0;  // of its JSON text
   std::vector<Aggregation> sub_aggregations;
 
   std::size_t size = 10, shard_size = 0;  // terms
@@ -122,37 +132,53 @@
     json::Object range_bounds;  // from, to, from_as_string and to_as_string of a range
     std::uint64_t count = 0;
     std::uint64_t error_of_contributors = 0;  // summed over the slices that returned this bucket
-    std::vector<State> sub_states;
+    std::vector<State> sub_states;            // those nested aggregations of which a slice returned a result
   };
-  static std::vector<State> initial_states(const Aggregations& specs);
+  using BucketPointers = std::vector<const Bucket*>;
+
+  // Merging: src/search/aggregation_merge.cpp.
+  State& find_or_add_state(std::vector<State>& states, const Aggregation& spec);
   const char* merge_all(std::vector<State>& states, std::string_view input);
   const char* merge_one(State& state, std::string_view input);
   const char* merge_terms(State& state, std::string_view input);
   std::size_t merge_terms_bucket(State& state, json::Scanner& members, std::uint64_t& count);
   const char* merge_buckets(State& state, std::string_view input);
   Bucket& target_bucket(State& state, json::Scanner& buckets, std::size_t number);
-  const char* merge_bucket(Bucket& bucket, std::string_view input);
-  static std::pair<Bucket&, bool> find_or_add_bucket(State& state, std::string_view key);
-  json::Object render(const std::vector<State>& states, bool typed) const;
+  const char* merge_bucket(const Aggregation& spec, Bucket& bucket, std::string_view input);
+  std::pair<Bucket&, bool> find_or_add_bucket(State& state, std::string_view key);
+  void count_merged_result();
+
+  // Rendering: src/search/aggregation_render.cpp.
+  json::Object render(const Aggregations& specs, const std::vector<State>& states, bool typed) const;
   json::Value render_one(const State& state, bool typed) const;
   json::Value render_buckets(const State& state, bool typed) const;
   json::Value render_terms(const State& state, bool typed) const;
   json::Object render_bucket(const State& state, const Bucket& bucket, bool typed) const;
-  std::vector<Bucket> fill_gaps(const State& state) const;
-  std::vector<Bucket> range_buckets(const State& state) const;
+  json::Value render_metric(const State& state) const;
+  BucketPointers buckets_of(const State& state, std::deque<Bucket>& gaps) const;
+  BucketPointers fill_gaps(const State& state, std::deque<Bucket>& gaps) const;
+  BucketPointers filter_buckets(const State& state) const;
+  const std::vector<Bucket>& empty_ranges(const Aggregation& spec) const;
+  const std::vector<Bucket>& empty_filters(const Aggregation& spec) const;
+  // The state of a nested aggregation, or an empty one if no slice returned a result of it.
+  const State& state_of(const Aggregation& spec, const std::vector<State>& states) const;
   static std::optional<double> metric_value(const State& state, std::string_view value);
-  static std::optional<double> order_value(const std::vector<State>& states, const Aggregation::Order& order,
-                                           std::size_t depth);
-  static void sort(const Aggregation& spec, std::vector<const Bucket*>& buckets);
-  void check_bucket_limit() const;
+  std::optional<double> order_value(const Aggregations& specs, const std::vector<State>& states,
+                                    const Aggregation::Order& order, std::size_t depth) const;
+  void sort(const Aggregation& spec, BucketPointers& buckets) const;
+  void check_bucket_limit(std::size_t buckets) const;
+  void add_result_bytes(std::size_t bytes) const;
 
   const Aggregations& specs_;
   const AggregationBounds bounds_;
   std::vector<State> states_;
-  // The empty buckets of each range aggregation, as the first slice to respond wrote them. A range nested in
-  // a bucket that no slice returned is rendered with these.
-  std::map<const Aggregation*, std::vector<Bucket>> empty_range_buckets_;
-  mutable std::size_t rendered_buckets_ = 0;
+  std::size_t merged_results_ = 0;
+  // The empty buckets of each range aggregation, as the first slice to respond wrote them or, if none did, as
+  // the request describes them. A range nested in a bucket that no slice returned is rendered with these.
+  mutable std::map<const Aggregation*, std::vector<Bucket>> empty_range_buckets_;
+  mutable std::map<const Aggregation*, std::vector<Bucket>> empty_filter_buckets_;
+  mutable std::map<const Aggregation*, State> empty_states_;
+  mutable std::size_t rendered_buckets_ = 0, rendered_bytes_ = 0;
 };
 
 }  // namespace kelpdeal::search
--- a/include/kelpdeal/search/bulk.h
+++ b/include/kelpdeal/search/bulk.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "kelpdeal/json.h"
+#include "kelpdeal/receive_buffer.h"
 
 namespace kelpdeal::search {
 
@@ -22,11 +23,12 @@
   std::optional<std::string> next();
   void finish() { finished_ = true; }
   bool line_too_long() const { return too_long_; }
-  std::size_t buffered_bytes() const { return buffer_.size() - position_; }
+  std::size_t buffered_bytes() const { return buffer_.size(); }
 
  private:
-  std::size_t max_line_bytes_, position_ = 0;
-  std::string buffer_;
+  std::size_t max_line_bytes_;
+  std::size_t searched_ = 0;  // bytes of the current line that are known to hold no line break
+  ReceiveBuffer buffer_;
   bool finished_ = false, too_long_ = false;
 };
 
--- a/include/kelpdeal/search/names.h
+++ b/include/kelpdeal/search/names.h
@@ -31,8 +31,6 @@
 std::vector<Target> resolve(const std::string& expression, const IndexNameOptions& options,
                             const std::vector<IndexContract>& indices, std::int64_t now_ms);
 
-// "*" matches any sequence of characters. Takes at most O(pattern size * name size).
-bool matches_wildcard(std::string_view pattern, std::string_view name);
 // Expands "<log-{now/d{yyyy.MM.dd|+01:00}}>" at the given time. Throws ApiError.
 std::string expand_date_name(std::string_view text, std::int64_t now_ms);
 
--- a/src/front/opensearch/call.h
+++ b/src/front/opensearch/call.h
@@ -25,7 +25,8 @@
 std::int64_t wall_clock_ms();
 // Converts "a,b" or ["a","b"] to "a,b".
 std::string joined(const json::Value& value);
-// Serializes and parses the value again, so that its Raw values can be inspected.
+// Serializes and parses the value again, so that its Raw values can be inspected. Throws ApiError if it holds
+// too many values for that.
 json::Value without_raw_values(const json::Value& value);
 
 // A task list entry for a call.
--- a/src/front/opensearch/cluster_calls.cpp
+++ b/src/front/opensearch/cluster_calls.cpp
@@ -6,10 +6,12 @@
 #include <set>
 
 #include "call.h"
+#include "kelpdeal/search/wildcard.h"
 
 namespace kelpdeal {
 
 using namespace opensearch;
+using search::NamePatterns;
 using search::split;
 using search::throw_illegal_argument;
 
@@ -19,14 +21,6 @@
 
 bool is_serving(const NodeEntry& node) { return node.state == cottonbay::ServerState::serving; }
 
-// True if a pattern of a list such as "a,b*" matches `name`, or the list is empty.
-bool matches_any(const std::string& names, const std::string& name) {
-  if (names.empty() || names == "_all" || names == "*") return true;
-  const std::vector<std::string> patterns = split(names);
-  return std::any_of(patterns.begin(), patterns.end(),
-                     [&](const std::string& pattern) { return search::matches_wildcard(pattern, name); });
-}
-
 std::string decimal(double value) {
   char text[32];
   std::snprintf(text, sizeof text, "%.1f", value);
@@ -43,11 +37,17 @@
   return !text.empty() && text.find_first_not_of("0123456789.") == std::string::npos;
 }
 
-void sort_rows(Table& table, const std::string& by) {
-  std::vector<std::string> words = split(by);
-  // Stable sorts, from the least significant key (the last) to the most significant.
-  std::reverse(words.begin(), words.end());
-  for (const std::string& word : words) {
+struct SortKey {
+  std::size_t column = 0;
+  bool descending = false;
+};
+
+// Reads a list such as "node,shard:desc". Of keys of one column only the first has an effect, and is
+// returned.
+std::vector<SortKey> read_sort_keys(const Table& table, const std::string& text) {
+  std::vector<SortKey> keys;
+  std::vector<bool> seen(table.columns.size(), false);
+  for (const std::string& word : split(text)) {
     const std::size_t colon = word.find(':');
     const std::string name = word.substr(0, colon),
                       direction = colon == std::string::npos ? "asc" : word.substr(colon + 1);
@@ -57,13 +57,40 @@
     if (direction != "asc" && direction != "desc")
       throw_illegal_argument("Unable to sort by [" + search::truncated(direction, 40) + "]");
     const auto i = static_cast<std::size_t>(column - table.columns.begin());
-    std::stable_sort(table.rows.begin(), table.rows.end(), [&](const auto& a, const auto& b) {
-      const bool numbers = is_number(a[i]) && is_number(b[i]);
-      const int order = numbers ? (std::stod(a[i]) < std::stod(b[i]) ? -1 : std::stod(b[i]) < std::stod(a[i]))
-                                : a[i].compare(b[i]);
-      return direction == "desc" ? order > 0 : order < 0;
-    });
+    if (seen[i]) continue;
+    seen[i] = true;
+    keys.push_back({i, direction == "desc"});
   }
+  return keys;
+}
+
+int compare_cells(const std::string& a, const std::string& b) {
+  if (!is_number(a) || !is_number(b)) return a.compare(b);
+  const double x = std::stod(a), y = std::stod(b);
+  return x < y ? -1 : y < x;
+}
+
+void sort_rows(Table& table, const std::string& by) {
+  const std::vector<SortKey> keys = read_sort_keys(table, by);
+  std::stable_sort(table.rows.begin(), table.rows.end(), [&](const auto& a, const auto& b) {
+    for (const SortKey& key : keys)
+      if (const int order = compare_cells(a[key.column], b[key.column]); order != 0)
+        return key.descending ? order > 0 : order < 0;
+    return false;
+  });
+}
+
+// The columns that the patterns of a list select, in its order, each once.
+std::vector<std::size_t> select_columns(const Table& table, const std::optional<std::string>& list) {
+  std::vector<std::size_t> selected;
+  std::vector<bool> seen(table.columns.size(), false);
+  for (const std::string& pattern : split(list.value_or("*")))
+    for (std::size_t i = 0; i < table.columns.size(); ++i)
+      if (!seen[i] && search::matches_wildcard(pattern, table.columns[i])) {
+        seen[i] = true;
+        selected.push_back(i);
+      }
+  return selected;
 }
 
 Answer write_table(Table table, Call& call) {
@@ -81,13 +108,7 @@
     return {200, {}, {}, out};
   }
   if (sort) sort_rows(table, *sort);
-  std::vector<std::size_t> selected;
-  for (std::size_t i = 0; i < table.columns.size(); ++i)
-    if (!columns) selected.push_back(i);
-  if (columns)
-    for (const std::string& name : split(*columns))
-      for (std::size_t i = 0; i < table.columns.size(); ++i)
-        if (search::matches_wildcard(name, table.columns[i])) selected.push_back(i);
+  const std::vector<std::size_t> selected = select_columns(table, columns);
   if (format == "json") {
     json::Array rows;
     for (const auto& row : table.rows) {
@@ -110,10 +131,10 @@
   return {200, {}, {}, out};
 }
 
-json::Object aliases_of(const IndexContract& index, const std::string& names) {
+json::Object aliases_of(const IndexContract& index, const NamePatterns& names) {
   json::Object aliases;
   for (const IndexContract::Alias& alias : index.aliases) {
-    if (!matches_any(names, alias.name)) continue;
+    if (!names.match(alias.name)) continue;
     json::Object options;
     if (!alias.filter.is_null()) options.emplace_back("filter", alias.filter);
     aliases.emplace_back(alias.name, std::move(options));
@@ -211,9 +232,10 @@
     index_body.emplace_back("attributes", std::move(attributes));
     indices.emplace_back(std::move(index_body));
   }
+  const NamePatterns given_names(call.name);
   for (const IndexContract& index : contract_.indices)
     for (const IndexContract::Alias& alias : index.aliases)
-      if (matches_any(call.name, alias.name)) by_alias[alias.name].emplace_back(index.name);
+      if (given_names.match(alias.name)) by_alias[alias.name].emplace_back(index.name);
   for (auto& [name, list] : by_alias)
     aliases.push_back(json::Object{{"name", name}, {"indices", std::move(list)}});
   co_return Answer{
@@ -287,7 +309,7 @@
 
 Task<Answer> OpenSearchFront::get_index(Call& call, CancellationToken&) {
   json::Object found = describe_indices(call, kSettingsParameters, [this](const IndexContract& index) {
-    return json::Object{{"aliases", aliases_of(index, "")},
+    return json::Object{{"aliases", aliases_of(index, NamePatterns(""))},
                         {"mappings", mappings_of(index)},
                         {"settings", settings_of(index, broker_.settings().cells_per_shard)}};
   });
@@ -300,9 +322,10 @@
   call.parameters.accept("local");
   call.reject_unknown_parameters();
   json::Object found;
+  const NamePatterns alias_names(call.name);
   bool found_alias = false;
   for (const search::Target& target : resolve(call.index, names)) {
-    json::Object aliases = aliases_of(*target.index, call.name);
+    json::Object aliases = aliases_of(*target.index, alias_names);
     found_alias |= !aliases.empty();
     if (call.name.empty() || !aliases.empty())
       found.emplace_back(target.index->name, json::Object{{"aliases", std::move(aliases)}});
@@ -340,6 +363,7 @@
     throw ApiError{
         400, "action_request_validation_exception", "Validation Failed: 1: no fields specified;", {}, {}};
   const std::vector<search::Target> targets = resolve(call.index, names);
+  const NamePatterns wanted(fields);
   json::Array indices;
   // The indices that define a field, by field name, then by type.
   std::map<std::string, std::map<std::string, std::vector<std::string>>> found;
@@ -348,7 +372,7 @@
     std::map<std::string, std::string> own_fields;
     collect_fields(target.index->properties, "", own_fields);
     for (const auto& [field, type] : own_fields)
-      if (matches_any(fields, field)) found[field][type].push_back(target.index->name);
+      if (wanted.match(field)) found[field][type].push_back(target.index->name);
   }
   json::Object out;
   for (const auto& [field, types] : found) {
@@ -460,12 +484,12 @@
 }
 
 Task<Answer> OpenSearchFront::tasks(Call& call, CancellationToken&) {
-  const std::string actions = call.parameters.get("actions").value_or("");
+  const NamePatterns actions(call.parameters.get("actions").value_or(""));
   call.parameters.accept("detailed group_by nodes parent_task_id wait_for_completion timeout");
   call.reject_unknown_parameters();
   json::Object listed;
   for (const auto& [id, entry] : tasks_.list(call.team))
-    if (matches_any(actions, entry->action))
+    if (actions.match(entry->action))
       listed.emplace_back(kClusterName + (":" + std::to_string(id)), task_body(id, *entry));
   co_return Answer{
       200,
@@ -491,7 +515,7 @@
 }
 
 Task<Answer> OpenSearchFront::cancel_tasks(Call& call, CancellationToken&) {
-  const std::string actions = call.parameters.get("actions").value_or("");
+  const NamePatterns actions(call.parameters.get("actions").value_or(""));
   call.parameters.accept("nodes parent_task_id wait_for_completion");
   call.reject_unknown_parameters();
   std::vector<std::uint64_t> ids;
@@ -508,7 +532,7 @@
       throw_illegal_argument("task [" + search::truncated(call.id, 40) + "] doesn't support cancellation");
   } else {
     for (const auto& [id, entry] : tasks_.list(call.team))
-      if (entry->cancel && matches_any(actions, entry->action)) ids.push_back(id);
+      if (entry->cancel && actions.match(entry->action)) ids.push_back(id);
   }
   json::Object cancelled;
   for (const std::uint64_t id : ids)
@@ -566,9 +590,10 @@
                             std::to_string(node.cell), is_serving(node) ? "serving" : "draining", node.uid});
   } else if (page == "aliases") {
     table.columns = {"alias", "index", "filter"};
+    const NamePatterns given_names(call.name);
     for (const IndexContract& index : contract_.indices)
       for (const IndexContract::Alias& alias : index.aliases)
-        if (matches_any(call.name, alias.name))
+        if (given_names.match(alias.name))
           table.rows.push_back({alias.name, index.name, alias.filter.is_null() ? "-" : "*"});
   } else if (page == "tasks") {
     table.columns = {"action", "task_id", "type", "start_time", "running_time", "node"};
--- a/src/front/opensearch/cursor_calls.cpp
+++ b/src/front/opensearch/cursor_calls.cpp
@@ -196,6 +196,15 @@
   co_return Answer{200, std::move(answer), {}, {}};
 }
 
+std::size_t OpenSearchFront::clear_all_cursors(const std::string& team, Cursor::Kind kind) {
+  if (const auto cleared = cursors_.clear_all(team, kind, WallClock::now())) return *cleared;
+  throw ApiError{429,
+                 "rejected_execution_exception",
+                 "too many teams have cleared all of their cursors",
+                 {},
+                 std::chrono::seconds(1)};
+}
+
 Task<Answer> OpenSearchFront::clear_scroll(Call& call, CancellationToken&) {
   const json::Value body = read_body(call, limits_.search_json);
   call.reject_unknown_parameters();
@@ -206,7 +215,7 @@
   const WallClock::time_point now = WallClock::now();
   std::size_t freed = 0;
   if (ids.size() == 1 && ids.front() == "_all") {
-    freed = cursors_.clear_all(call.team, Cursor::Kind::scroll, now);
+    freed = clear_all_cursors(call.team, Cursor::Kind::scroll);
     co_return Answer{
         200, json::Object{{"succeeded", true}, {"num_freed", static_cast<std::uint64_t>(freed)}}, {}, {}};
   }
@@ -291,7 +300,7 @@
     const auto ms = [](auto duration) { return std::chrono::duration_cast<Milliseconds>(duration).count(); };
     // The signed ids are not stored; only their holders have them.
     pits.push_back(json::Object{{"pit_id", std::to_string(number)},
-                                {"creation_time", ms(entry.opened.time_since_epoch())},
+                                {"creation_time", ms(entry.value.opened.time_since_epoch())},
                                 {"keep_alive", ms(entry.expires - now)}});
   }
   co_return Answer{200, json::Object{{"pits", std::move(pits)}}, {}, {}};
@@ -303,7 +312,7 @@
   json::Array pits;
   for (const auto& [number, entry] : cursors_.list(call.team, Cursor::Kind::point_in_time, now))
     pits.push_back(json::Object{{"successful", true}, {"pit_id", std::to_string(number)}});
-  cursors_.clear_all(call.team, Cursor::Kind::point_in_time, now);
+  clear_all_cursors(call.team, Cursor::Kind::point_in_time);
   co_return Answer{200, json::Object{{"pits", std::move(pits)}}, {}, {}};
 }
 
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -106,7 +106,7 @@
   const auto node_result =
       reply.items.empty() ? std::nullopt : json::parse(reply.items.front().value, error, limits_.search_json);
   if (write.has_action_line && node_result && node_result->object()) {
-    status = static_cast<int>(node_result->number_or("status", 201));
+    status = static_cast<int>(std::clamp(node_result->number_or("status", 201), 200.0, 599.0));
     if (const json::Value* problem = node_result->find("error"); problem && status >= 400)
       throw ApiError{status,
                      problem->text_or("type", "exception"),
@@ -158,6 +158,12 @@
 }
 
 // ---- reads ----
+// What the items of a multi-get have in common, unless they state otherwise.
+struct OpenSearchFront::ReadDefaults {
+  json::Value source, stored_fields;
+  std::string routing;
+};
+
 Task<json::Object> OpenSearchFront::fetch_document(const std::string& index_name, const std::string& id,
                                                    const std::string& routing, const json::Value& source,
                                                    const json::Value& stored, const Call& call,
@@ -239,18 +245,17 @@
   co_return Answer{200, *document, {}, {}};
 }
 
-Task<void> OpenSearchFront::fetch_item(json::Value spec, const Call& call, CancellationToken& caller,
-                                       json::Value& out, Mailbox<int>& done) {
+Task<void> OpenSearchFront::fetch_item(const json::Value& spec, const ReadDefaults& defaults,
+                                       const Call& call, CancellationToken& caller, json::Value& out,
+                                       Mailbox<int>& done) {
   const std::string index = spec.text_or("_index", call.index), id = spec.text_or("_id", "");
   try {
     Call item_call{call.http, Clock::now(), call.pattern, index, id, {}, call.team, call.opaque_id};
     item_call.is_single = false;
-    const std::string routing = spec.text_or("routing", spec.text_or("_routing", ""));
-    const json::Value* source = spec.find("_source");
-    const json::Value* stored = spec.find("stored_fields");
-    json::Value source_filter, fields;
-    if (source) source_filter = *source;
-    if (stored) fields = *stored;
+    const std::string routing = spec.text_or("routing", spec.text_or("_routing", defaults.routing));
+    const json::Value *source = spec.find("_source"), *stored = spec.find("stored_fields");
+    const json::Value& source_filter = source ? *source : defaults.source;
+    const json::Value& fields = stored ? *stored : defaults.stored_fields;
     out = co_await fetch_document(index, id, routing, source_filter, fields, item_call, caller);
   } catch (const ApiError& error) {
     json::Object failed{{"_index", index}, {"_id", id}};
@@ -264,33 +269,33 @@
 
 Task<Answer> OpenSearchFront::multi_get(Call& call, CancellationToken& caller) {
   const json::Value body = read_body(call, limits_.search_json);
-  const json::Value source = source_of(call.parameters);
-  const std::string routing = call.parameters.get("routing").value_or("");
-  const auto stored = call.parameters.get("stored_fields");
+  ReadDefaults defaults;
+  defaults.source = source_of(call.parameters);
+  defaults.routing = call.parameters.get("routing").value_or("");
+  if (const auto stored = call.parameters.get("stored_fields"))
+    defaults.stored_fields = split_to_json_array(*stored);
   call.parameters.accept("preference realtime refresh");
   call.reject_unknown_parameters();
   const json::Value *docs = body.find("docs"), *ids = body.find("ids");
   std::vector<json::Value> specs;
-  const auto add = [&](json::Object spec) {
-    const json::Value given = spec;
-    if (call.index.empty() && !given.find("_index"))
+  const auto add = [&](json::Object given) {
+    const json::Value spec = std::move(given);
+    if (specs.size() >= limits_.max_multi_get_documents)
+      throw_illegal_argument("more than " + std::to_string(limits_.max_multi_get_documents) +
+                             " documents in one multi-get");
+    if (call.index.empty() && !spec.find("_index"))
       throw ApiError{400,
                      "action_request_validation_exception",
                      "Validation Failed: 1: index is missing for doc " + std::to_string(specs.size()) + ";",
                      {},
                      {}};
-    if (given.text_or("_id", "").empty())
+    if (spec.text_or("_id", "").empty())
       throw ApiError{400,
                      "action_request_validation_exception",
                      "Validation Failed: 1: id is missing for doc " + std::to_string(specs.size()) + ";",
                      {},
                      {}};
-    if (!given.find("_source") && !source.is_null()) spec.emplace_back("_source", source);
-    if (!given.find("stored_fields") && stored)
-      spec.emplace_back("stored_fields", split_to_json_array(*stored));
-    if (!given.find("routing") && !given.find("_routing") && !routing.empty())
-      spec.emplace_back("routing", routing);
-    specs.emplace_back(std::move(spec));
+    specs.push_back(spec);
   };
   if (docs && docs->array())
     for (const json::Value& doc : *docs->array()) add(doc.object() ? *doc.object() : json::Object{});
@@ -299,9 +304,12 @@
   if (specs.empty())
     throw ApiError{
         400, "action_request_validation_exception", "Validation Failed: 1: no documents to get;", {}, {}};
-  if (specs.size() > limits_.max_multi_get_documents)
-    throw_illegal_argument("more than " + std::to_string(limits_.max_multi_get_documents) +
-                           " documents in one multi-get");
+  // The defaults are sent for each document.
+  const std::size_t default_bytes = json::write(defaults.source).size() +
+                                    json::write(defaults.stored_fields).size() + defaults.routing.size();
+  if (default_bytes * specs.size() > limits_.max_multi_get_default_bytes)
+    throw_illegal_argument("the fields and the routing given for all documents are too long for " +
+                           std::to_string(specs.size()) + " documents");
 
   ItemCallers callers(caller, specs.size());
   json::Array out(specs.size());
@@ -310,7 +318,7 @@
   for (std::size_t next = 0, ended = 0; ended < specs.size();) {
     while (next < specs.size() && (limiter.can_start() || callers.gone())) {
       limiter.on_started();
-      scheduler_.spawn(fetch_item(specs[next], call, callers[next], out[next], done));
+      scheduler_.spawn(fetch_item(specs[next], defaults, call, callers[next], out[next], done));
       ++next;
     }
     if (!co_await done.take(Clock::now() + Milliseconds(20))) continue;
--- a/src/front/opensearch/opensearch_api.cpp
+++ b/src/front/opensearch/opensearch_api.cpp
@@ -10,6 +10,9 @@
 namespace kelpdeal::opensearch {
 namespace {
 
+// Bounds of an answer whose parts are selected. Values may take 30 times the memory of their text.
+constexpr json::Bounds kMaxFilteredAnswer{256, 500'000};
+
 const char* default_error_type(int status) {
   switch (status) {
     case 408:
@@ -77,7 +80,9 @@
 
 json::Value without_raw_values(const json::Value& value) {
   std::string error;
-  return json::parse(json::write(value), error, {256, 100'000'000}).value_or(json::Value());
+  auto parsed = json::parse(json::write(value), error, kMaxFilteredAnswer);
+  if (!parsed) search::throw_illegal_argument("[filter_path] is not taken for an answer like this: " + error);
+  return std::move(*parsed);
 }
 
 search::TaskRegistry::Entry make_task_entry(const Call& call, const char* action, std::string description,
--- a/src/front/opensearch/opensearch_front.cpp
+++ b/src/front/opensearch/opensearch_front.cpp
@@ -209,7 +209,7 @@
       metrics_(metrics),
       id_state_(seed),
       signer_(cursor_keys(contract_)),
-      cursors_({limits.max_cursors_per_team, limits.max_cursors}),
+      cursors_({limits.max_cursors_per_team, limits.max_cursors, bounds_.max_keep_alive}),
       fanout_({limits.max_fanout, limits.max_fanout_per_request}) {
   for (const IndexContract& index : contract_.indices) {
     for (const IndexContract::Alias& alias : index.aliases) {
@@ -335,8 +335,7 @@
     response.status = error.status;
     answer.body = error_body(error);
   }
-  response.body = pretty && *pretty != "false" ? json::write_pretty(without_raw_values(answer.body))
-                                               : json::write(answer.body);
+  response.body = pretty && *pretty != "false" ? json::write_pretty(answer.body) : json::write(answer.body);
   return response;
 }
 
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -224,16 +224,15 @@
   co_return co_await run_multi_search(call, true, caller);
 }
 
-Task<void> OpenSearchFront::run_search_item(const Call& call, const json::Value& header, std::string body,
-                                            bool is_template, CancellationToken& caller, Answer& outcome,
-                                            std::size_t place, Mailbox<std::size_t>& done) {
+Task<void> OpenSearchFront::run_search_item(const Call& call, const search::Parameters& shared_parameters,
+                                            const json::Value& header, std::string body,
+                                            search::TemplateBudget* template_budget,
+                                            CancellationToken& caller, Answer& outcome, std::size_t place,
+                                            Mailbox<std::size_t>& done) {
   try {
     Call item_call{call.http, Clock::now(), call.pattern, call.index, {}, {}, call.team, call.opaque_id};
     item_call.is_single = false;
-    std::vector<std::pair<std::string, std::string>> given;
-    for (const char* shared : {"typed_keys", "rest_total_hits_as_int", "search_type"})
-      if (const auto value = call.http.parameter(shared)) given.emplace_back(shared, *value);
-    item_call.parameters = search::Parameters(std::move(given));
+    item_call.parameters = shared_parameters;
     for (const auto& [name, value] : *header.object()) {
       if (std::none_of(std::begin(kHeaderOptions), std::end(kHeaderOptions),
                        [&option = name](const char* known) { return option == known; }))
@@ -250,12 +249,8 @@
     auto search_json = json::parse(body.empty() ? "{}" : body, error, limits_.search_json);
     if (!search_json || !search_json->object())
       search::throw_parsing_error(search_json ? "the body is not an object" : error);
-    if (is_template) {
-      const json::Value* source = search_json->find("source");
-      const json::Value* parameters = search_json->find("params");
-      search_json =
-          search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                                  limits_.max_search_body_bytes, limits_.search_json);
+    if (template_budget) {
+      search_json = rendered_body(*search_json, *template_budget);
     }
     outcome = co_await search_body(item_call, *search_json, caller);
   } catch (const ApiError& error) {
@@ -266,15 +261,22 @@
 
 Task<Answer> OpenSearchFront::run_multi_search(Call& call, bool templates, CancellationToken& caller) {
   const std::size_t max_concurrent = call.parameters.count("max_concurrent_searches", 10'000).value_or(0);
-  call.parameters.accept(
-      "typed_keys rest_total_hits_as_int search_type ccs_minimize_roundtrips pre_filter_shard_size "
-      "max_concurrent_shard_requests");
+  search::Parameters shared_parameters;
+  for (const char* shared : {"typed_keys", "rest_total_hits_as_int", "search_type"})
+    if (const auto value = call.parameters.get(shared)) shared_parameters.set(shared, *value);
+  call.parameters.accept("ccs_minimize_roundtrips pre_filter_shard_size max_concurrent_shard_requests");
   call.reject_unknown_parameters();
   std::vector<std::string> lines;
   search::LineSplitter splitter(limits_.max_search_body_bytes);
   splitter.feed(call.http.body);
   splitter.finish();
-  while (auto line = splitter.next()) lines.push_back(std::move(*line));
+  while (auto line = splitter.next()) {
+    lines.push_back(std::move(*line));
+    // An empty line may follow the last search.
+    if (lines.size() > 2 * limits_.max_multi_searches + 1)
+      throw_illegal_argument("more than " + std::to_string(limits_.max_multi_searches) +
+                             " searches in one multi-search");
+  }
   if (!lines.empty() && lines.back().empty() && lines.size() % 2 != 0) lines.pop_back();
   if (lines.empty() || lines.size() % 2 != 0)
     search::throw_parsing_error("a multi-search needs a header and a body line for each search");
@@ -295,6 +297,7 @@
   ItemCallers callers(caller, count);
   std::vector<Answer> outcomes(count);
   Mailbox<std::size_t> done(scheduler_);
+  search::TemplateBudget template_budget;
   const search::TaskRegistry::Running running(
       tasks_, make_task_entry(call, "indices:data/read/msearch", "requests[" + std::to_string(count) + "]",
                               [&callers] { callers.leave(); }));
@@ -317,9 +320,12 @@
           continue;
         }
         limiter.on_started();
-        scheduler_.spawn(run_search_item(call, headers[next], std::move(lines[2 * next + 1]), templates,
-                                         callers[next], outcomes[next], next, done));
+        scheduler_.spawn(run_search_item(
+            call, shared_parameters, headers[next], std::move(lines[2 * next + 1]),
+            templates ? &template_budget : nullptr, callers[next], outcomes[next], next, done));
         ++next;
+        // Rendering a template may take a while: one in each turn of the loop.
+        if (templates) co_await scheduler_.next_turn();
       }
       if (ended >= count) break;
       // Changes to other requests' windows can allow this one to start items, without a notification: polls.
@@ -351,6 +357,18 @@
   co_return answer;
 }
 
+// The search body that a template body describes.
+json::Value OpenSearchFront::rendered_body(const json::Value& body, search::TemplateBudget& budget) const {
+  const json::Value* source = body.find("source");
+  const json::Value* parameters = body.find("params");
+  return search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
+                                 limits_.max_search_body_bytes, limits_.search_json, budget);
+}
+json::Value OpenSearchFront::rendered_body(const json::Value& body) const {
+  search::TemplateBudget budget;
+  return rendered_body(body, budget);
+}
+
 // ---- count, validation, templates ----
 Task<Answer> OpenSearchFront::count(Call& call, CancellationToken& caller) {
   const json::Value body = read_body(call, limits_.search_json);
@@ -413,23 +431,14 @@
   for (const char* option : {"explain", "profile"})
     if (const json::Value* value = body.find(option); value && *value != json::Value(false))
       throw_illegal_argument("[" + std::string(option) + "] is not taken of a template");
-  const json::Value* source = body.find("source");
-  const json::Value* parameters = body.find("params");
-  const json::Value rendered =
-      search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                              limits_.max_search_body_bytes, limits_.search_json);
+  const json::Value rendered = rendered_body(body);
   co_return co_await search_body(call, rendered, caller);
 }
 
 Task<Answer> OpenSearchFront::render_template(Call& call, CancellationToken&) {
   const json::Value body = read_body(call, limits_.search_json);
   call.reject_unknown_parameters();
-  const json::Value* source = body.find("source");
-  const json::Value* parameters = body.find("params");
-  json::Value rendered =
-      search::render_template(source ? *source : json::Value(), parameters ? *parameters : json::Value(),
-                              limits_.max_search_body_bytes, limits_.search_json);
-  co_return Answer{200, json::Object{{"template_output", std::move(rendered)}}, {}, {}};
+  co_return Answer{200, json::Object{{"template_output", rendered_body(body)}}, {}, {}};
 }
 
 }  // namespace kelpdeal
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -491,7 +491,8 @@
       return false;
     }
     text = *item;
-    status = static_cast<int>(json::parse(text, error).value_or(json::Value()).number_or("status", 500));
+    const double stated = json::parse(text, error).value_or(json::Value()).number_or("status", 500);
+    status = static_cast<int>(std::clamp(stated, 100.0, 599.0));
   }
   for (const Attempt& part : call.parts) {
     AttemptResult result = parse_node_answer(status, text, call.write);
--- a/src/parse/frames.cpp
+++ b/src/parse/frames.cpp
@@ -105,10 +105,11 @@
 
 std::optional<Frame> Reader::next() {
   if (bad_ || buffer_.size() < 4) return std::nullopt;
+  const std::string_view received = buffer_.view();
   std::size_t length = 0;
-  for (int i = 0; i < 4; ++i)
-    length |= static_cast<std::size_t>(static_cast<unsigned char>(buffer_[i])) << (8 * i);
-  const std::string_view available = std::string_view(buffer_).substr(4, length);
+  for (std::size_t i = 0; i < 4; ++i)
+    length |= static_cast<std::size_t>(static_cast<unsigned char>(received[i])) << (8 * i);
+  const std::string_view available = received.substr(4, length);
   // Rejects an invalid frame at once instead of waiting for the rest of its announced length.
   if (length == 0 || length > max_frame_bytes_ ||
       (!available.empty() && kFrameTypes.find(available[0]) == std::string_view::npos) ||
@@ -119,8 +120,8 @@
     return std::nullopt;
   }
   if (available.size() < length) return std::nullopt;
-  Frame frame{buffer_[4], buffer_.substr(5, length - 1)};
-  buffer_.erase(0, 4 + length);
+  Frame frame{available[0], std::string(available.substr(1))};
+  buffer_.consume(4 + length);
   return frame;
 }
 
--- a/src/parse/http.cpp
+++ b/src/parse/http.cpp
@@ -129,9 +129,9 @@
 // including the ending. The line stays in the buffer. False if the line is incomplete.
 template <typename Message>
 bool Parser<Message>::peek_line(std::string_view& text) {
-  const std::size_t end = buffer_.find('\n');
+  const std::size_t end = buffer_.view().find('\n');
   if (end == std::string::npos) return false;
-  text = std::string_view(buffer_).substr(0, end);
+  text = buffer_.view().substr(0, end);
   if (text.ends_with('\r')) text.remove_suffix(1);
   remaining_ = end + 1;
   return true;
@@ -223,13 +223,13 @@
             if (!parse_start_line(text)) return State::bad;
             stage_ = Stage::head;
           }
-          buffer_.erase(0, remaining_);
+          buffer_.consume(remaining_);
         } else if (text.empty()) {
-          buffer_.erase(0, remaining_);
+          buffer_.consume(remaining_);
           stage_ = Stage::framing;
         } else {
           if (!parse_field(text)) return State::bad;
-          buffer_.erase(0, remaining_);
+          buffer_.consume(remaining_);
         }
         break;
       }
@@ -242,8 +242,8 @@
       case Stage::chunk: {
         const std::size_t now = std::min(remaining_, buffer_.size());
         body_bytes_ += now;
-        message_.body.append(buffer_, 0, now);
-        buffer_.erase(0, now);
+        message_.body.append(buffer_.view().substr(0, now));
+        buffer_.consume(now);
         remaining_ -= now;
         if (remaining_ > 0) return State::more;
         stage_ = stage_ == Stage::length ? Stage::done : Stage::chunk_end;
@@ -256,14 +256,14 @@
         if (!whole_number(trim(text.substr(0, text.find(';'))), remaining_, 16))
           return bad(400, "bad chunk size");
         if (remaining_ > max_body_ - body_bytes_) return bad(413, "body too large");
-        buffer_.erase(0, used);
+        buffer_.consume(used);
         stage_ = remaining_ == 0 ? Stage::trailer : Stage::chunk;
         break;
       }
       case Stage::chunk_end: {
         if (!peek_line(text)) return buffer_.size() > 2 ? bad(400, "bad chunk end") : State::more;
         if (!text.empty()) return bad(400, "bad chunk end");
-        buffer_.erase(0, remaining_);
+        buffer_.consume(remaining_);
         stage_ = Stage::chunk_size;
         break;
       }
@@ -273,11 +273,11 @@
         head_bytes_ += remaining_;
         if (head_bytes_ > bounds_.head) return bad(431, "trailer too large");
         if (text.empty()) stage_ = Stage::done;
-        buffer_.erase(0, remaining_);
+        buffer_.consume(remaining_);
         break;
       }
       case Stage::until_end: {
-        message_.body += buffer_;
+        message_.body += buffer_.view();
         buffer_.clear();
         return message_.body.size() > max_body_ ? bad(413, "body too large") : State::more;
       }
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -299,6 +299,27 @@
   if (read_as_integer && std::abs(number) >= kExactInDouble) out += ".0";
 }
 
+void append_quoted(std::string& out, std::string_view text) {
+  static constexpr char hex[] = "0123456789abcdef";
+  out += '"';
+  for (std::size_t at = 0;;) {
+    const std::size_t special = find_special(text, at);
+    out.append(text, at, special - at);
+    if (special >= text.size()) break;
+    const auto byte = static_cast<unsigned char>(text[special]);
+    if (byte < 0x20) {
+      out += "\\u00";
+      out += hex[byte >> 4];
+      out += hex[byte & 15];
+    } else {
+      out += '\\';
+      out += text[special];
+    }
+    at = special + 1;
+  }
+  out += '"';
+}
+
 // Appends a value that is neither an array nor an object; false for those.
 bool append_scalar(std::string& out, const Value& value) {
   if (value.is_null()) {
@@ -314,39 +335,31 @@
     else
       append_double(out, *number);
   } else if (const std::string* text = value.string()) {
-    out += quote(*text);
+    append_quoted(out, *text);
   } else {
     return false;
   }
   return true;
 }
 
-// `indent` below 0 writes everything on one line.
-void append(std::string& out, const Value& value, int indent) {
+void append(std::string& out, const Value& value) {
   if (append_scalar(out, value)) return;
-  const int inner = indent < 0 ? indent : indent + 2;
-  const auto line = [&out](int spaces) {
-    if (spaces >= 0) out.append(1, '\n').append(static_cast<std::size_t>(spaces), ' ');
-  };
+  const char* separator = "";
   if (const Array* items = value.array()) {
     out += '[';
-    for (std::size_t i = 0; i < items->size(); ++i) {
-      if (i) out += ',';
-      line(inner);
-      append(out, (*items)[i], inner);
+    for (const Value& item : *items) {
+      out += std::exchange(separator, ",");
+      append(out, item);
     }
-    if (!items->empty()) line(indent);
     out += ']';
   } else if (const Object* members = value.object()) {
     out += '{';
-    for (std::size_t i = 0; i < members->size(); ++i) {
-      if (i) out += ',';
-      line(inner);
-      out += quote((*members)[i].first);
-      out += indent < 0 ? ":" : " : ";
-      append(out, (*members)[i].second, inner);
+    for (const auto& [name, member] : *members) {
+      out += std::exchange(separator, ",");
+      append_quoted(out, name);
+      out += ':';
+      append(out, member);
     }
-    if (!members->empty()) line(indent);
     out += '}';
   }
 }
@@ -497,20 +510,81 @@
   std::size_t at_ = 0;
 };
 
+// Puts valid JSON text on several lines, without building its values.
+class Indenter {
+ public:
+  Indenter(std::string_view text, std::size_t max_bytes) : text_(text), max_bytes_(max_bytes) {}
+
+  // Nothing if the result would be longer than `max_bytes`.
+  std::optional<std::string> run() {
+    while (at_ < text_.size()) {
+      if (out_.size() > max_bytes_) return std::nullopt;
+      read_token();
+    }
+    out_ += '\n';
+    return std::move(out_);
+  }
+
+ private:
+  static constexpr std::size_t kIndent = 2;
+
+  void read_token() {
+    const char c = text_[at_];
+    if (c == '"') {
+      const std::size_t end = skip_string(text_, at_ + 1);
+      out_.append(text_, at_, end - at_);
+      at_ = end;
+      return;
+    }
+    ++at_;
+    if (c == '{' || c == '[') {
+      out_ += c;
+      open();
+    } else if (c == '}' || c == ']') {
+      --depth_;
+      start_line();
+      out_ += c;
+    } else if (c == ',') {
+      out_ += c;
+      start_line();
+    } else if (c == ':') {
+      out_ += " : ";
+    } else if (c != ' ' && c != '\t' && c != '\n' && c != '\r') {
+      out_ += c;
+    }
+  }
+  // After an opening bracket. An empty list or object stays on its line.
+  void open() {
+    at_ = skip_space(text_, at_);
+    if (at_ < text_.size() && (text_[at_] == '}' || text_[at_] == ']')) {
+      out_ += text_[at_++];
+      return;
+    }
+    ++depth_;
+    start_line();
+  }
+  void start_line() { out_.append(1, '\n').append(kIndent * depth_, ' '); }
+
+  std::string_view text_;
+  const std::size_t max_bytes_;
+  std::size_t at_ = 0, depth_ = 0;
+  std::string out_;
+};
+
 }  // namespace
 
 bool valid(std::string_view text, const Bounds& bounds) { return Validator(text, bounds).is_valid(); }
 
 std::string write(const Value& value) {
   std::string out;
-  append(out, value, -1);
+  append(out, value);
   return out;
 }
 
-std::string write_pretty(const Value& value) {
-  std::string out;
-  append(out, value, 0);
-  return out + '\n';
+std::string write_pretty(const Value& value, std::size_t max_bytes) {
+  std::string text = write(value);
+  if (auto indented = Indenter(text, max_bytes).run()) return std::move(*indented);
+  return std::move(text) + '\n';
 }
 
 namespace {
@@ -604,6 +678,7 @@
     std::string item = buffer_.substr(item_start_, end - item_start_);
     while (!item.empty() && static_cast<unsigned char>(item.back()) <= ' ') item.pop_back();
     item_start_ = npos;
+    outside_start_ = end;
     return item;
   };
   while (!bad_ && !done_ && at_ < buffer_.size()) {
@@ -623,10 +698,7 @@
     const bool space = static_cast<unsigned char>(c) <= ' ';
     if (in_list_ && depth_ == 2 && !space && c != ',' && c != ']' && item_start_ == npos) item_start_ = at_;
     if (in_list_ && depth_ == 2 && (c == ',' || c == ']') && item_start_ != npos) {
-      // The delimiter is processed again by the next call, after the item has been removed.
-      std::string item = item_until(at_);
-      buffer_.erase(0, std::exchange(at_, 0));
-      return item;
+      return item_until(at_);  // the delimiter is processed again by the next call
     }
     if (c == '"') {
       in_string_ = true;
@@ -642,9 +714,7 @@
         in_list_ = false;
       } else if (in_list_ && depth_ == 2 && item_start_ != npos) {
         // Complete at its closing bracket; the text after it may arrive much later.
-        std::string item = item_until(++at_);
-        buffer_.erase(0, std::exchange(at_, 0));
-        return item;
+        return item_until(++at_);
       }
       done_ = depth_ == 0;
     } else if (depth_ == 0 && !space) {
@@ -654,15 +724,22 @@
     if (depth_ == 1 && c == ',') value_next_ = false;
     ++at_;
   }
-  // Text outside items is not kept.
-  if (item_start_ == npos && !in_string_) {
-    bytes_outside_items_ += at_;
-    buffer_.erase(0, std::exchange(at_, 0));
-  }
+  discard_consumed();
   if (buffer_.size() > max_bytes_ || bytes_outside_items_ > max_bytes_) bad_ = true;
   return std::nullopt;
 }
 
+// Removes all text but that of the item or name that has begun.
+void ItemStream::discard_consumed() {
+  const std::size_t kept = item_start_ != npos ? item_start_ : in_string_ ? string_start_ - 1 : at_;
+  bytes_outside_items_ += kept - outside_start_;
+  buffer_.erase(0, kept);
+  at_ -= kept;
+  if (item_start_ != npos) item_start_ = 0;
+  if (in_string_) string_start_ -= kept;
+  outside_start_ = 0;
+}
+
 std::string unquote(std::string_view raw) {
   if (raw.size() < 2 || raw.front() != '"') return std::string(raw);
   if (raw.find('\\') == std::string_view::npos) return std::string(raw.substr(1, raw.size() - 2));
@@ -672,22 +749,9 @@
 }
 
 std::string quote(std::string_view text) {
-  static constexpr char hex[] = "0123456789abcdef";
-  std::string out = "\"";
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') {
-      out += '\\';
-      out += c;
-    } else if (byte < 0x20) {
-      out += "\\u00";
-      out += hex[byte >> 4];
-      out += hex[byte & 15];
-    } else {
-      out += c;
-    }
-  }
-  return out + '"';
+  std::string out;
+  append_quoted(out, text);
+  return out;
 }
 
 }  // namespace kelpdeal::json
--- a/src/peers/envelope.cpp
+++ b/src/peers/envelope.cpp
@@ -113,10 +113,10 @@
 
 std::optional<std::string> MessageReader::next() {
   if (too_long_ || buffer_.size() < 4) return std::nullopt;
+  const std::string_view received = buffer_.view();
   std::size_t length = 0;
-  for (int i = 0; i < 4; ++i)
-    length |= static_cast<std::size_t>(static_cast<unsigned char>(buffer_[static_cast<std::size_t>(i)]))
-              << (8 * i);
+  for (std::size_t i = 0; i < 4; ++i)
+    length |= static_cast<std::size_t>(static_cast<unsigned char>(received[i])) << (8 * i);
   // Prevents allocations for a length that is only announced.
   if (length > max_bytes_ || length <= kHashBytes) {
     too_long_ = true;
@@ -124,8 +124,8 @@
     return std::nullopt;
   }
   if (buffer_.size() < 4 + length) return std::nullopt;
-  std::string message = buffer_.substr(4, length);
-  buffer_.erase(0, 4 + length);
+  std::string message(received.substr(4, length));
+  buffer_.consume(4 + length);
   return message;
 }
 
--- a/src/search/aggregations.cpp
+++ b/src/search/aggregations.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <set>
 
 #include "kelpdeal/search/api_error.h"
 #include "kelpdeal/search/dates.h"
@@ -42,9 +43,6 @@
 struct UnsupportedType {
   const char *name, *reason;
 };
-// Histogram keys, including dates in milliseconds, must be smaller than this in absolute value.
-constexpr double kMaxHistogramKey = 8.64e15;
-
 constexpr const char* kSingleNumberNotMergeable =
     "a slice answers with one number, and two such numbers cannot be put together";
 constexpr const char* kPipelineNotSupported =
@@ -116,8 +114,8 @@
   }
 }
 
-Aggregation::Order read_order(const std::string& path, const json::Value& direction,
-                              const std::string& name) {
+Aggregation::Order read_order(const std::string& path, const json::Value& direction, const std::string& name,
+                              const AggregationBounds& bounds) {
   Aggregation::Order order;
   const std::string* direction_text = direction.string();
   if (!direction_text || (*direction_text != "asc" && *direction_text != "desc"))
@@ -128,22 +126,27 @@
     return order;
   }
   std::size_t position = 0;
-  for (std::size_t end = 0; (end = path.find('>', position)) != std::string::npos; position = end + 1)
+  for (std::size_t end = 0; (end = path.find('>', position)) != std::string::npos; position = end + 1) {
+    if (order.path.size() >= bounds.max_depth) reject(name, "invalid aggregation order path: it is too long");
     order.path.push_back(path.substr(position, end - position));
+  }
   const std::size_t dot = path.find('.', position);
   order.path.push_back(path.substr(position, dot == std::string::npos ? dot : dot - position));
   order.value = dot == std::string::npos ? "value" : path.substr(dot + 1);
   return order;
 }
 
-std::vector<Aggregation::Order> read_orders(const json::Value& body, const std::string& name) {
+std::vector<Aggregation::Order> read_orders(const json::Value& body, const std::string& name,
+                                            const AggregationBounds& bounds) {
   std::vector<Aggregation::Order> orders;
   const json::Value* given = body.find("order");
   if (!given) return orders;
   const auto read_one = [&](const json::Value& entry) {
     if (!entry.object() || entry.object()->size() != 1) reject(name, "[order] must name one key");
     const json::Member& member = entry.object()->front();
-    orders.push_back(read_order(member.first, member.second, name));
+    if (orders.size() >= bounds.max_orders)
+      reject(name, "[order] names more than " + std::to_string(bounds.max_orders) + " keys");
+    orders.push_back(read_order(member.first, member.second, name, bounds));
   };
   if (const json::Array* entries = given->array())
     for (const json::Value& entry : *entries) read_one(entry);
@@ -165,10 +168,12 @@
                "invalid aggregation order path: no aggregation [" + truncated(order.path[i]) + "]");
       const bool is_last = i + 1 == order.path.size();
       if (is_last ? !found->is_metric() : found->kind != Kind::single_bucket)
-        reject(spec.name, "invalid aggregation order path: [" + order.path[i] + "] cannot be ordered by");
+        reject(spec.name,
+               "invalid aggregation order path: [" + truncated(order.path[i]) + "] cannot be ordered by");
       const bool has_several_values = found->kind == Kind::stats || found->kind == Kind::extended_stats;
       if (is_last && has_several_values != (order.value != "value"))
-        reject(spec.name, "invalid aggregation order path: [" + order.path[i] + "] needs one value named");
+        reject(spec.name,
+               "invalid aggregation order path: [" + truncated(order.path[i]) + "] needs one value named");
       level = &found->sub_aggregations;
     }
   }
@@ -182,7 +187,7 @@
   aggregation.size = read_whole_number(aggregation.body, "size", 10, aggregation.name);
   if (aggregation.size == 0) reject(aggregation.name, "[size] must be greater than 0");
   aggregation.min_doc_count = read_whole_number(aggregation.body, "min_doc_count", 1, aggregation.name);
-  aggregation.order = read_orders(aggregation.body, aggregation.name);
+  aggregation.order = read_orders(aggregation.body, aggregation.name, bounds);
   // Ordered by key, the first `size` terms of each slice suffice unless min_doc_count can drop some of them.
   const bool by_key = aggregation.order.size() == 1 && aggregation.order.front().value == "_key" &&
                       aggregation.min_doc_count <= 1;
@@ -240,7 +245,7 @@
   }
 }
 
-void read_histogram(Aggregation& aggregation) {
+void read_histogram(Aggregation& aggregation, const AggregationBounds& bounds) {
   const bool dates = aggregation.kind == Kind::date_histogram;
   reject_unknown_options(
       aggregation.body, aggregation.name,
@@ -260,14 +265,16 @@
     aggregation.offset = aggregation.body.number_or("offset", 0);
   }
   aggregation.format = aggregation.body.text_or("format", "");
+  if (aggregation.format.size() > bounds.max_format_bytes)
+    reject(aggregation.name, "[format] is longer than " + std::to_string(bounds.max_format_bytes) + " bytes");
   aggregation.min_doc_count = read_whole_number(aggregation.body, "min_doc_count", 0, aggregation.name);
   aggregation.keyed = aggregation.body.flag_or("keyed", false);
-  aggregation.order = read_orders(aggregation.body, aggregation.name);
+  aggregation.order = read_orders(aggregation.body, aggregation.name, bounds);
   if (aggregation.order.empty() || aggregation.order.back().value != "_key")
     aggregation.order.push_back({{}, "_key", false});
-  if (const json::Value* bounds = aggregation.body.find("extended_bounds")) {
+  if (const json::Value* extended = aggregation.body.find("extended_bounds")) {
     const auto bound = [&](const char* side) -> double {
-      const json::Value* value = bounds->find(side);
+      const json::Value* value = extended->find(side);
       if (value && value->number()) return *value->number();
       if (dates && value && value->string())
         if (const auto ms = parse_date(*value->string())) return static_cast<double>(*ms);
@@ -299,12 +306,12 @@
   if (const json::Object* named = filters->object()) {
     aggregation.keyed = aggregation.body.flag_or("keyed", true);
     for (const auto& [key, query] : *named) {
-      check_query(query, "aggs." + aggregation.name + ".filters." + truncated(key), query_bounds);
+      check_query(query, "aggs." + truncated(aggregation.name) + ".filters." + truncated(key), query_bounds);
       aggregation.filter_names.push_back(key);
     }
   } else {
-    for (const json::Value& query : *filters->array())
-      check_query(query, "aggs." + aggregation.name + ".filters", query_bounds);
+    const std::string path = "aggs." + truncated(aggregation.name) + ".filters";
+    for (const json::Value& query : *filters->array()) check_query(query, path, query_bounds);
   }
   aggregation.filter_count = filters->object() ? filters->object()->size() : filters->array()->size();
   if (aggregation.filter_count == 0) reject(aggregation.name, "[filters] cannot be empty");
@@ -343,9 +350,10 @@
         nested = &body;
       } else if (part == "meta") {
         aggregation.meta = body;
+        aggregation.meta_bytes = json::write(body).size();
       } else if (!aggregation.type.empty()) {
         throw_parsing_error("Found two aggregation type definitions in [" + truncated(name) + "]: [" +
-                            aggregation.type + "] and [" + truncated(part) + "]");
+                            truncated(aggregation.type) + "] and [" + truncated(part) + "]");
       } else {
         aggregation.type = part;
         aggregation.body = body;
@@ -382,7 +390,7 @@
         return read_terms(aggregation, bounds_);
       case Kind::histogram:
       case Kind::date_histogram:
-        return read_histogram(aggregation);
+        return read_histogram(aggregation, bounds_);
       case Kind::range: {
         reject_unknown_options(aggregation.body, aggregation.name,
                                "field ranges keyed format missing script time_zone ");
@@ -396,7 +404,7 @@
         return read_filters(aggregation, query_bounds);
       case Kind::single_bucket:
         if (aggregation.type == "filter")
-          check_query(aggregation.body, "aggs." + aggregation.name + ".filter", query_bounds);
+          check_query(aggregation.body, "aggs." + truncated(aggregation.name) + ".filter", query_bounds);
         return;
       case Kind::extended_stats:
         reject_unknown_options(aggregation.body, aggregation.name, "field missing script format sigma ");
@@ -455,6 +463,15 @@
   return value;
 }
 
+[[noreturn]] void throw_too_many_buckets(std::size_t max_buckets) {
+  throw ApiError{400,
+                 "too_many_buckets_exception",
+                 "Trying to create too many buckets. Must be less than or equal to: [" +
+                     std::to_string(max_buckets) + "]",
+                 {},
+                 {}};
+}
+
 json::Value or_null(const std::optional<double>& value) {
   return value ? json::Value(*value) : json::Value();
 }
@@ -513,19 +530,31 @@
 }
 
 AggregationReducer::AggregationReducer(const Aggregations& specs, const AggregationBounds& bounds)
-    : specs_(specs), bounds_(bounds), states_(initial_states(specs_)) {}
+    : specs_(specs), bounds_(bounds) {}
 
-std::vector<AggregationReducer::State> AggregationReducer::initial_states(const Aggregations& specs) {
-  std::vector<State> states(specs.size());
-  for (std::size_t i = 0; i < specs.size(); ++i) states[i].spec = &specs[i];
-  return states;
+bool AggregationReducer::usable(const Aggregations& specs, std::string_view raw) {
+  std::set<std::string_view> missing;
+  for (const Aggregation& aggregation : specs) missing.insert(aggregation.name);
+  json::Scanner walk(raw);
+  while (!missing.empty() && walk.next())
+    if (missing.erase(walk.name()) > 0 && !json::Scanner(walk.remaining()).is_object()) return false;
+  return missing.empty();
 }
 
-bool AggregationReducer::usable(const Aggregations& specs, std::string_view raw) {
-  return std::all_of(specs.begin(), specs.end(), [&](const Aggregation& aggregation) {
-    const auto found = json::member(raw, aggregation.name);
-    return found && json::Scanner(*found).is_object();
-  });
+// Bounds the memory of what slices return before their buckets and nested results are kept.
+void AggregationReducer::count_merged_result() {
+  if (++merged_results_ > bounds_.max_merged_results) throw_too_many_buckets(bounds_.max_merged_results);
+}
+
+AggregationReducer::State& AggregationReducer::find_or_add_state(std::vector<State>& states,
+                                                                 const Aggregation& spec) {
+  const auto found =
+      std::find_if(states.begin(), states.end(), [&](const State& state) { return state.spec == &spec; });
+  if (found != states.end()) return *found;
+  count_merged_result();
+  State& state = states.emplace_back();
+  state.spec = &spec;
+  return state;
 }
 
 void AggregationReducer::add(std::string_view input) { merge_all(states_, input); }
@@ -536,15 +565,16 @@
   json::Scanner walk(input);
   if (!walk.is_object()) return nullptr;
   while (walk.next())
-    for (State& state : states)
-      if (walk.name() == state.spec->name) walk.skip_to(merge_one(state, walk.remaining()));
+    for (const Aggregation& spec : specs_)
+      if (walk.name() == spec.name)
+        walk.skip_to(merge_one(find_or_add_state(states, spec), walk.remaining()));
   return walk.end();
 }
 
 const char* AggregationReducer::merge_one(State& state, std::string_view input) {
   const Aggregation& spec = *state.spec;
   if (spec.kind == Kind::terms) return merge_terms(state, input);
-  if (spec.kind == Kind::single_bucket) return merge_bucket(find_or_add_bucket(state, "").first, input);
+  if (spec.kind == Kind::single_bucket) return merge_bucket(spec, find_or_add_bucket(state, "").first, input);
   if (!spec.is_metric()) return merge_buckets(state, input);
   MetricTotals& totals = state.totals;
   std::string_view min_text, max_text;
@@ -582,21 +612,22 @@
                                                                                     std::string_view key) {
   const auto found = state.bucket_index.find(key);
   if (found != state.bucket_index.end()) return {state.buckets[found->second], false};
+  count_merged_result();
   state.bucket_index.emplace(std::string(key), state.buckets.size());
-  Bucket& bucket = state.buckets.emplace_back();
-  bucket.sub_states = initial_states(state.spec->sub_aggregations);
-  return {bucket, true};
+  return {state.buckets.emplace_back(), true};
 }
 
-const char* AggregationReducer::merge_bucket(Bucket& bucket, std::string_view input) {
+const char* AggregationReducer::merge_bucket(const Aggregation& spec, Bucket& bucket,
+                                             std::string_view input) {
   json::Scanner walk(input);
   while (walk.next()) {
     if (walk.name() == "doc_count") {
       bucket.count += parse_whole_number(walk.raw());
       continue;
     }
-    for (State& sub_state : bucket.sub_states)
-      if (walk.name() == sub_state.spec->name) walk.skip_to(merge_one(sub_state, walk.remaining()));
+    for (const Aggregation& sub_spec : spec.sub_aggregations)
+      if (walk.name() == sub_spec.name)
+        walk.skip_to(merge_one(find_or_add_state(bucket.sub_states, sub_spec), walk.remaining()));
   }
   return walk.end();
 }
@@ -667,7 +698,8 @@
                              "]: the slices hold keys of different types");
   }
   bucket.count += count;
-  for (const auto& [i, raw] : sub_values) merge_one(bucket.sub_states[i], raw);
+  for (const auto& [i, raw] : sub_values)
+    merge_one(find_or_add_state(bucket.sub_states, state.spec->sub_aggregations[i]), raw);
   return static_cast<std::size_t>(&bucket - state.buckets.data());
 }
 
@@ -679,7 +711,7 @@
     json::Scanner buckets(walk.remaining());
     for (std::size_t number = 0; buckets.next(); ++number) {
       const std::string_view raw = buckets.raw();
-      merge_bucket(target_bucket(state, buckets, number), raw);
+      merge_bucket(*state.spec, target_bucket(state, buckets, number), raw);
     }
     walk.skip_to(buckets.end());
   }
@@ -738,6 +770,17 @@
 }
 
 // ---- rendering ----
+namespace {
+
+// Memory of the rendered result: of a member, of a bucket without what is nested in it, and of the values of
+// a stats or extended_stats aggregation.
+constexpr std::size_t kMemberBytes = sizeof(json::Member);
+constexpr std::size_t kBucketBytes = 4 * kMemberBytes;
+constexpr std::size_t kStatsBytes = 20 * kMemberBytes;
+constexpr std::size_t kBytesPerMetaByte = 20;  // a value for every other byte, as in [0,0,0]
+
+}  // namespace
+
 std::optional<double> AggregationReducer::metric_value(const State& state, std::string_view value) {
   const MetricTotals& totals = state.totals;
   const auto count = static_cast<double>(totals.count);
@@ -772,18 +815,30 @@
   return std::nullopt;
 }
 
-std::optional<double> AggregationReducer::order_value(const std::vector<State>& states,
-                                                      const Aggregation::Order& order, std::size_t depth) {
-  for (const State& state : states) {
-    if (state.spec->name != order.path[depth]) continue;
+const AggregationReducer::State& AggregationReducer::state_of(const Aggregation& spec,
+                                                              const std::vector<State>& states) const {
+  for (const State& state : states)
+    if (state.spec == &spec) return state;
+  State& empty = empty_states_[&spec];
+  empty.spec = &spec;
+  return empty;
+}
+
+std::optional<double> AggregationReducer::order_value(const Aggregations& specs,
+                                                      const std::vector<State>& states,
+                                                      const Aggregation::Order& order,
+                                                      std::size_t depth) const {
+  for (const Aggregation& spec : specs) {
+    if (spec.name != order.path[depth]) continue;
+    const State& state = state_of(spec, states);
     if (depth + 1 == order.path.size()) return metric_value(state, order.value);
     if (state.buckets.empty()) return std::nullopt;
-    return order_value(state.buckets.front().sub_states, order, depth + 1);
+    return order_value(spec.sub_aggregations, state.buckets.front().sub_states, order, depth + 1);
   }
   return std::nullopt;
 }
 
-void AggregationReducer::sort(const Aggregation& spec, std::vector<const Bucket*>& buckets) {
+void AggregationReducer::sort(const Aggregation& spec, BucketPointers& buckets) const {
   const auto before = [&](const Bucket* a, const Bucket* b) {
     for (const Aggregation::Order& order : spec.order) {
       int comparison = 0;
@@ -799,7 +854,8 @@
               exact_a && exact_b ? (*exact_a < *exact_b ? -1 : *exact_b < *exact_a) : (x < y ? -1 : y < x);
         }
       } else {
-        const auto x = order_value(a->sub_states, order, 0), y = order_value(b->sub_states, order, 0);
+        const auto x = order_value(spec.sub_aggregations, a->sub_states, order, 0),
+                   y = order_value(spec.sub_aggregations, b->sub_states, order, 0);
         if (x.has_value() != y.has_value()) return x.has_value();  // buckets without a value are sorted last
         if (x) comparison = *x < *y ? -1 : *y < *x;
       }
@@ -810,27 +866,35 @@
   std::stable_sort(buckets.begin(), buckets.end(), before);
 }
 
-void AggregationReducer::check_bucket_limit() const {
-  // Bounds the response: a small interval over wide extended_bounds would produce millions of buckets.
-  if (++rendered_buckets_ > bounds_.max_buckets)
+// Bounds the response, while its buckets are made: a small interval over wide extended_bounds would produce
+// millions of them.
+void AggregationReducer::check_bucket_limit(std::size_t buckets) const {
+  if (rendered_buckets_ + buckets > bounds_.max_buckets) throw_too_many_buckets(bounds_.max_buckets);
+}
+
+// Must be called before the memory is used: the request's names and formats are repeated for each bucket.
+void AggregationReducer::add_result_bytes(std::size_t bytes) const {
+  rendered_bytes_ += bytes;
+  if (rendered_bytes_ > bounds_.max_result_bytes)
     throw ApiError{400,
                    "too_many_buckets_exception",
-                   "Trying to create too many buckets. Must be less than or equal to: [" +
-                       std::to_string(bounds_.max_buckets) + "]",
+                   "the aggregations' result would take more than " +
+                       std::to_string(bounds_.max_result_bytes) + " bytes",
                    {},
                    {}};
 }
 
 // The buckets of a histogram, including the empty ones in the gaps.
-std::vector<AggregationReducer::Bucket> AggregationReducer::fill_gaps(const State& state) const {
+AggregationReducer::BucketPointers AggregationReducer::fill_gaps(const State& state,
+                                                                 std::deque<Bucket>& gaps) const {
   const Aggregation& spec = *state.spec;
   const bool dates = spec.kind == Kind::date_histogram;
-  std::vector<const Bucket*> sorted;
+  BucketPointers sorted;
   for (const Bucket& bucket : state.buckets) sorted.push_back(&bucket);
   std::sort(sorted.begin(), sorted.end(), [](const Bucket* a, const Bucket* b) {
     return a->key.number() && b->key.number() && *a->key.number() < *b->key.number();
   });
-  std::vector<Bucket> out;
+  BucketPointers out;
   // The largest bucket key not above a value, and the key after a given one.
   const auto floor_key = [&](double value) {
     if (!spec.calendar_interval.empty())
@@ -859,55 +923,102 @@
   std::size_t next = 0;
   double key = *from;
   for (std::size_t steps = 0; key <= *to + tolerance; ++steps) {
-    if (out.size() > bounds_.max_buckets) check_bucket_limit();
+    check_bucket_limit(out.size());
     while (next < sorted.size() && *sorted[next]->key.number() < key - tolerance)
-      out.push_back(*sorted[next++]);
+      out.push_back(sorted[next++]);
     if (next < sorted.size() && std::abs(*sorted[next]->key.number() - key) <= tolerance) {
-      out.push_back(*sorted[next++]);
+      out.push_back(sorted[next++]);
     } else {
-      Bucket empty;
+      add_result_bytes(sizeof(Bucket));
+      Bucket& empty = gaps.emplace_back();
       empty.key = key;
       if (dates)
         empty.key_as_string =
             format_date(static_cast<std::int64_t>(key), spec.format, spec.zone_offset_ms).value_or("");
-      empty.sub_states = initial_states(spec.sub_aggregations);
-      out.push_back(std::move(empty));
+      out.push_back(&empty);
     }
-    if (out.size() > bounds_.max_buckets) rendered_buckets_ = bounds_.max_buckets, check_bucket_limit();
     key = next_key(key, *from, steps);
   }
-  for (; next < sorted.size(); ++next) out.push_back(*sorted[next]);
+  for (; next < sorted.size(); ++next) out.push_back(sorted[next]);
   return out;
 }
 
-std::vector<AggregationReducer::Bucket> AggregationReducer::range_buckets(const State& state) const {
-  if (!state.buckets.empty()) return state.buckets;
-  std::vector<Bucket> out;
-  if (const auto empty_buckets = empty_range_buckets_.find(state.spec);
-      empty_buckets != empty_range_buckets_.end()) {
-    out = empty_buckets->second;
+const std::vector<AggregationReducer::Bucket>& AggregationReducer::empty_ranges(
+    const Aggregation& spec) const {
+  const auto [it, inserted] = empty_range_buckets_.try_emplace(&spec);
+  if (!inserted) return it->second;
+  const auto side = [](const json::Value* bound) {
+    if (!bound) return std::string("*");
+    const std::string text = bound->string() ? *bound->string() : json::write(*bound);
+    return bound->integer() ? text + ".0" : text;
+  };
+  for (const json::Value& range : *spec.body.find("ranges")->array()) {
+    add_result_bytes(sizeof(Bucket));
+    Bucket& bucket = it->second.emplace_back();
+    const json::Value *from = range.find("from"), *to = range.find("to");
+    bucket.key = range.text_or("key", side(from) + "-" + side(to));
+    if (from && from->number()) bucket.range_bounds.emplace_back("from", *from);
+    if (to && to->number()) bucket.range_bounds.emplace_back("to", *to);
+  }
+  return it->second;
+}
+
+const std::vector<AggregationReducer::Bucket>& AggregationReducer::empty_filters(
+    const Aggregation& spec) const {
+  const auto [it, inserted] = empty_filter_buckets_.try_emplace(&spec);
+  if (!inserted) return it->second;
+  const std::size_t count = spec.filter_count + (spec.other_bucket ? 1 : 0);
+  for (std::size_t i = 0; i < count; ++i) {
+    add_result_bytes(sizeof(Bucket));
+    const bool other = i == spec.filter_count;
+    it->second.emplace_back().key = spec.filter_names.empty() ? std::to_string(i)
+                                    : other                   ? spec.other_key
+                                                              : spec.filter_names[i];
+  }
+  return it->second;
+}
+
+// In request order, including filters for which no slice responded.
+AggregationReducer::BucketPointers AggregationReducer::filter_buckets(const State& state) const {
+  BucketPointers out;
+  for (const Bucket& empty : empty_filters(*state.spec)) {
+    const auto found = state.bucket_index.find(*empty.key.string());
+    out.push_back(found == state.bucket_index.end() ? &empty : &state.buckets[found->second]);
+  }
+  return out;
+}
+
+// The buckets to render of an aggregation other than terms. `gaps` holds those that exist only here.
+AggregationReducer::BucketPointers AggregationReducer::buckets_of(const State& state,
+                                                                  std::deque<Bucket>& gaps) const {
+  const Aggregation& spec = *state.spec;
+  if (spec.kind == Kind::filters) return filter_buckets(state);
+  BucketPointers out;
+  if (spec.kind == Kind::range) {
+    for (const Bucket& bucket : state.buckets.empty() ? empty_ranges(spec) : state.buckets)
+      out.push_back(&bucket);
+    return out;
+  }
+  const Aggregation::Order& first_order = spec.order.front();
+  const bool by_key = first_order.path.empty() && first_order.value == "_key" && !first_order.descending;
+  if (spec.min_doc_count == 0) {
+    out = fill_gaps(state, gaps);
+    if (by_key) return out;
   } else {
-    // No slice returned this aggregation: the buckets are derived from the request.
-    const auto side = [](const json::Value* bound) {
-      if (!bound) return std::string("*");
-      const std::string text = bound->string() ? *bound->string() : json::write(*bound);
-      return bound->integer() ? text + ".0" : text;
-    };
-    for (const json::Value& range : *state.spec->body.find("ranges")->array()) {
-      Bucket& bucket = out.emplace_back();
-      const json::Value *from = range.find("from"), *to = range.find("to");
-      bucket.key = range.text_or("key", side(from) + "-" + side(to));
-      if (from && from->number()) bucket.range_bounds.emplace_back("from", *from);
-      if (to && to->number()) bucket.range_bounds.emplace_back("to", *to);
-    }
+    for (const Bucket& bucket : state.buckets)
+      if (bucket.count >= spec.min_doc_count) out.push_back(&bucket);
   }
-  for (Bucket& bucket : out) bucket.sub_states = initial_states(state.spec->sub_aggregations);
+  sort(spec, out);
   return out;
 }
 
 json::Object AggregationReducer::render_bucket(const State& state, const Bucket& bucket, bool typed) const {
-  check_bucket_limit();
+  check_bucket_limit(1);
+  ++rendered_buckets_;
+  add_result_bytes(kBucketBytes + bucket.key_as_string.size() + kMemberBytes * bucket.range_bounds.size() +
+                   (bucket.key.string() ? bucket.key.string()->size() : 0));
   json::Object out;
+  out.reserve(4 + bucket.range_bounds.size() + state.spec->sub_aggregations.size());
   const Kind kind = state.spec->kind;
   if (!bucket.key_as_string.empty()) out.emplace_back("key_as_string", bucket.key_as_string);
   if (kind != Kind::single_bucket && kind != Kind::filters) out.emplace_back("key", bucket.key);
@@ -918,13 +1029,14 @@
                      state.doc_count_error_known
                          ? json::Value(state.doc_count_error - bucket.error_of_contributors)
                          : json::Value(-1));
-  for (json::Member& member : render(bucket.sub_states, typed)) out.push_back(std::move(member));
+  for (json::Member& member : render(state.spec->sub_aggregations, bucket.sub_states, typed))
+    out.push_back(std::move(member));
   return out;
 }
 
 json::Value AggregationReducer::render_terms(const State& state, bool typed) const {
   const Aggregation& spec = *state.spec;
-  std::vector<const Bucket*> sorted;
+  BucketPointers sorted;
   std::uint64_t other = state.other_doc_count;
   for (const Bucket& bucket : state.buckets)
     if (bucket.count >= spec.min_doc_count) sorted.push_back(&bucket);
@@ -941,36 +1053,8 @@
 
 json::Value AggregationReducer::render_buckets(const State& state, bool typed) const {
   const Aggregation& spec = *state.spec;
-  const bool histogram = spec.kind == Kind::histogram || spec.kind == Kind::date_histogram;
-  std::vector<Bucket> complete;
-  if (histogram && spec.min_doc_count == 0) complete = fill_gaps(state);
-  if (spec.kind == Kind::range) complete = range_buckets(state);
-  std::vector<Bucket> filter_buckets;
-  if (spec.kind == Kind::filters) {
-    // In request order, including filters for which no slice responded.
-    const std::size_t count = spec.filter_count + (spec.other_bucket ? 1 : 0);
-    for (std::size_t i = 0; i < count; ++i) {
-      const bool other = i == spec.filter_count;
-      std::string key = spec.filter_names.empty() ? std::to_string(i)
-                        : other                   ? spec.other_key
-                                                  : spec.filter_names[i];
-      const auto found = state.bucket_index.find(key);
-      Bucket bucket;
-      if (found != state.bucket_index.end())
-        bucket = state.buckets[found->second];
-      else
-        bucket.sub_states = initial_states(spec.sub_aggregations);
-      bucket.key = key;
-      filter_buckets.push_back(std::move(bucket));
-    }
-  }
-  std::vector<const Bucket*> sorted;
-  const bool without_gaps = histogram && spec.min_doc_count > 0;
-  for (const Bucket& bucket : spec.kind == Kind::filters ? filter_buckets
-                              : without_gaps             ? state.buckets
-                                                         : complete)
-    if (!histogram || bucket.count >= spec.min_doc_count) sorted.push_back(&bucket);
-  if (histogram) sort(spec, sorted);
+  std::deque<Bucket> gaps;
+  const BucketPointers sorted = buckets_of(state, gaps);
   const bool by_name = spec.kind == Kind::filters ? spec.keyed && !spec.filter_names.empty() : spec.keyed;
   if (!by_name) {
     json::Array buckets;
@@ -994,11 +1078,16 @@
   const Aggregation& spec = *state.spec;
   if (spec.kind == Kind::terms) return render_terms(state, typed);
   if (spec.kind == Kind::single_bucket) {
-    Bucket none;
-    none.sub_states = initial_states(spec.sub_aggregations);
+    const Bucket none;
     return render_bucket(state, state.buckets.empty() ? none : state.buckets.front(), typed);
   }
-  if (!spec.is_metric()) return render_buckets(state, typed);
+  return spec.is_metric() ? render_metric(state) : render_buckets(state, typed);
+}
+
+json::Value AggregationReducer::render_metric(const State& state) const {
+  const Aggregation& spec = *state.spec;
+  const bool several_values = spec.kind == Kind::stats || spec.kind == Kind::extended_stats;
+  add_result_bytes(several_values ? kStatsBytes : kMemberBytes);
   const MetricTotals& totals = state.totals;
   const auto value = [&](const char* name) { return or_null(metric_value(state, name)); };
   json::Object out;
@@ -1032,24 +1121,25 @@
   return out;
 }
 
-json::Object AggregationReducer::render(const std::vector<State>& states, bool typed) const {
+json::Object AggregationReducer::render(const Aggregations& specs, const std::vector<State>& states,
+                                        bool typed) const {
   json::Object out;
-  for (const State& state : states) {
+  for (const Aggregation& spec : specs) {
+    add_result_bytes(kMemberBytes + spec.name.size() + kBytesPerMetaByte * spec.meta_bytes);
+    const State& state = state_of(spec, states);
     json::Value rendered = render_one(state, typed);
-    if (!state.spec->meta.is_null())
-      rendered.object()->insert(rendered.object()->begin(), {"meta", state.spec->meta});
-    std::string name = state.spec->name;
+    if (!spec.meta.is_null()) rendered.object()->insert(rendered.object()->begin(), {"meta", spec.meta});
+    std::string name = spec.name;
     if (typed)
-      name =
-          type_prefix(*state.spec, state.buckets.empty() ? nullptr : &state.buckets.front().key) + "#" + name;
+      name = type_prefix(spec, state.buckets.empty() ? nullptr : &state.buckets.front().key) + "#" + name;
     out.emplace_back(std::move(name), std::move(rendered));
   }
   return out;
 }
 
 json::Object AggregationReducer::render(bool typed_keys) const {
-  rendered_buckets_ = 0;
-  return render(states_, typed_keys);
+  rendered_buckets_ = rendered_bytes_ = 0;
+  return render(specs_, states_, typed_keys);
 }
 
 }  // namespace kelpdeal::search
--- a/src/search/bulk.cpp
+++ b/src/search/bulk.cpp
@@ -10,21 +10,21 @@
 namespace kelpdeal::search {
 
 std::optional<std::string> LineSplitter::next() {
-  std::size_t end = buffer_.find('\n', position_);
-  if (end == std::string::npos) {
-    if (buffer_.size() - position_ > max_line_bytes_) too_long_ = true;
-    if (!finished_ || position_ == buffer_.size()) {
-      buffer_.erase(0, std::exchange(position_, 0));
-      return std::nullopt;
-    }
-    end = buffer_.size();
+  const std::string_view received = buffer_.view();
+  std::size_t end = received.find('\n', searched_);
+  if (end == std::string_view::npos) {
+    if (received.size() > max_line_bytes_) too_long_ = true;
+    searched_ = received.size();
+    if (!finished_ || received.empty()) return std::nullopt;
+    end = received.size();
   }
-  if (end - position_ > max_line_bytes_) {
+  if (end > max_line_bytes_) {
     too_long_ = true;
     return std::nullopt;
   }
-  std::string line = buffer_.substr(position_, end - position_);
-  position_ = std::min(end + 1, buffer_.size());
+  std::string line(received.substr(0, end));
+  buffer_.consume(std::min(end + 1, received.size()));
+  searched_ = 0;
   if (line.ends_with('\r')) line.pop_back();
   return line;
 }
--- a/src/search/filter_path.cpp
+++ b/src/search/filter_path.cpp
@@ -2,19 +2,21 @@
 #include "kelpdeal/search/filter_path.h"
 
 #include <algorithm>
-#include <set>
 #include <vector>
 
 #include "kelpdeal/search/api_error.h"
-#include "kelpdeal/search/names.h"
 #include "kelpdeal/search/parameters.h"
+#include "kelpdeal/search/wildcard.h"
 
 namespace kelpdeal::search {
 namespace {
 
 using Path = std::vector<std::string>;
-// The positions reached in the paths: each a path with the number of its names already matched.
-using MatchState = std::set<std::pair<std::size_t, std::size_t>>;
+// The positions reached in the paths, sorted: each a path with the number of its names already matched.
+using MatchState = std::vector<std::pair<std::size_t, std::size_t>>;
+
+constexpr std::size_t kMaxFilterSteps = 2'000'000;
+constexpr std::size_t kCharactersPerStep = 16;
 
 class Filter {
  public:
@@ -31,16 +33,20 @@
     for (std::size_t i = 0; i < paths_.size(); ++i) add_position(state, i, 0);
     return state;
   }
+  // Throws ApiError once the paths have taken too many steps for the whole body.
   MatchState step(const MatchState& state, const std::string& name) const {
     MatchState next;
     for (const auto& [path, position] : state) {
       if (position >= paths_[path].size()) continue;
       const std::string& pattern = paths_[path][position];
+      spend(1 + (pattern.size() + name.size()) / kCharactersPerStep);
       if (pattern == "**")
         add_position(next, path, position);
       else if (matches_wildcard(pattern, name))
         add_position(next, path, position + 1);
     }
+    std::sort(next.begin(), next.end());
+    next.erase(std::unique(next.begin(), next.end()), next.end());
     return next;
   }
   bool is_complete(const MatchState& state) const {
@@ -57,11 +63,18 @@
   }
   // ** also matches zero levels.
   void add_position(MatchState& state, std::size_t path, std::size_t position) const {
-    state.emplace(path, position);
+    spend(1);
+    state.emplace_back(path, position);
     if (position < paths_[path].size() && paths_[path][position] == "**")
       add_position(state, path, position + 1);
   }
+  void spend(std::size_t steps) const {
+    steps_ += steps;
+    if (steps_ > kMaxFilterSteps)
+      throw_illegal_argument("[filter_path] takes too many steps for an answer of this size");
+  }
   std::vector<Path> paths_;
+  mutable std::size_t steps_ = 0;
 };
 
 // Copies the included parts of `value` to `out`. Returns false if there are none.
@@ -114,8 +127,9 @@
 
 json::Value filter_path(const json::Value& body, const std::string& paths, std::size_t max_paths) {
   const Filter included(paths, false, max_paths), excluded(paths, true, max_paths);
-  json::Value value = body;
-  if (!excluded.empty()) value = exclude_matching(excluded, excluded.start(), value);
+  json::Value remaining;
+  if (!excluded.empty()) remaining = exclude_matching(excluded, excluded.start(), body);
+  const json::Value& value = excluded.empty() ? body : remaining;
   if (included.empty()) return value;
   json::Value kept;
   if (!include_matching(included, included.start(), value, kept)) return json::Object{};
--- a/src/search/names.cpp
+++ b/src/search/names.cpp
@@ -5,6 +5,7 @@
 
 #include "kelpdeal/search/api_error.h"
 #include "kelpdeal/search/dates.h"
+#include "kelpdeal/search/wildcard.h"
 
 namespace kelpdeal::search {
 namespace {
@@ -103,26 +104,6 @@
 
 }  // namespace
 
-bool matches_wildcard(std::string_view pattern, std::string_view name) {
-  std::size_t pattern_pos = 0, name_pos = 0, star = std::string_view::npos, resume = 0;
-  while (name_pos < name.size()) {
-    if (pattern_pos < pattern.size() && pattern[pattern_pos] == '*') {
-      star = pattern_pos++;
-      resume = name_pos;
-    } else if (pattern_pos < pattern.size() && pattern[pattern_pos] == name[name_pos]) {
-      ++pattern_pos;
-      ++name_pos;
-    } else if (star != std::string_view::npos) {
-      pattern_pos = star + 1;
-      name_pos = ++resume;
-    } else {
-      return false;
-    }
-  }
-  while (pattern_pos < pattern.size() && pattern[pattern_pos] == '*') ++pattern_pos;
-  return pattern_pos == pattern.size();
-}
-
 std::string expand_date_name(std::string_view text, std::int64_t now_ms) {
   const auto throw_invalid = [&]() {
     throw_illegal_argument("invalid dynamic name expression [" + truncated(text) + "]");
--- a/src/search/reduce.cpp
+++ b/src/search/reduce.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <set>
+#include <unordered_map>
 
 namespace kelpdeal::search {
 namespace {
@@ -104,31 +105,36 @@
 }
 
 void Reducer::take(int step, int shard, double score, std::string value) {
+  if (merge_error_) return;
   try {
     const auto hits = find_hits(value);
     if (auto request_error = hits ? std::nullopt : request_error_in(value)) {
-      if (!merge_error_) merge_error_ = std::move(request_error);
+      merge_error_ = std::move(request_error);
       return;
     }
     if (!hits) return add_untyped(step, shard, score, std::move(value));
     if (step > 1) return replace_hits(shard, hits->list);
     add_search_response(shard, value);
   } catch (const ApiError& error) {
-    if (!merge_error_) merge_error_ = error;
+    merge_error_ = error;
   }
 }
 
 // A later step fetches hits of an earlier one again, with their full content.
 void Reducer::replace_hits(int shard, std::string_view hits) {
+  std::unordered_multimap<std::string_view, Hit*> by_id;
+  for (Hit& hit : top_hits_)
+    if (hit.slice == shard && !hit.is_untyped) by_id.emplace(hit.id, &hit);
   json::Scanner walk(hits);
   while (walk.next()) {
     Hit fetched;
     if (!read_hit(walk.raw(), shard, 0, fetched)) continue;
-    for (Hit& hit : top_hits_)
-      if (hit.slice == shard && hit.id == fetched.id && !hit.is_untyped) {
-        hit.raw = fetched.raw;
-        write_hit(hit);
-      }
+    const auto [first, last] = by_id.equal_range(fetched.id);
+    for (auto it = first; it != last; ++it) {
+      it->second->raw = fetched.raw;
+      write_hit(*it->second);
+    }
+    by_id.erase(first, last);  // a hit that is sent twice counts once
   }
 }
 
--- a/src/search/sort.cpp
+++ b/src/search/sort.cpp
@@ -105,6 +105,14 @@
   return field.descending ? -order : order;
 }
 
+constexpr std::size_t kMaxSortKeys = 32;
+
+// Must be called before a key is added.
+void check_key_count(const SortOrder& order) {
+  if (order.fields.size() >= kMaxSortKeys)
+    throw_illegal_argument("more than " + std::to_string(kMaxSortKeys) + " sort keys");
+}
+
 }  // namespace
 
 bool SortOrder::by_score() const {
@@ -128,27 +136,31 @@
 
 SortOrder parse_sort(const json::Value& sort) {
   SortOrder order;
+  const auto add = [&order](const json::Value& entry) {
+    check_key_count(order);
+    order.fields.push_back(read_field(entry));
+  };
   if (const json::Array* entries = sort.array()) {
     for (const json::Value& entry : *entries) {
       // An object may name several fields; their order is significant.
       if (const json::Object* members = entry.object(); members && members->size() > 1) {
-        for (const json::Member& member : *members) order.fields.push_back(read_field(json::Object{member}));
+        for (const json::Member& member : *members) add(json::Object{member});
       } else {
-        order.fields.push_back(read_field(entry));
+        add(entry);
       }
     }
   } else if (const json::Object* members = sort.object()) {
-    for (const json::Member& member : *members) order.fields.push_back(read_field(json::Object{member}));
+    for (const json::Member& member : *members) add(json::Object{member});
   } else if (!sort.is_null()) {
-    order.fields.push_back(read_field(sort));
+    add(sort);
   }
-  if (order.fields.size() > 32) throw_illegal_argument("more than 32 sort keys");
   return order;
 }
 
 SortOrder parse_sort(const std::string& parameter) {
   SortOrder order;
   for (const std::string& key : split(parameter)) {
+    check_key_count(order);
     const std::size_t colon = key.rfind(':');
     if (colon == std::string::npos)
       order.fields.push_back(make_field(key, key == "_score"));
@@ -156,7 +168,6 @@
       order.fields.push_back(
           make_field(key.substr(0, colon), read_order(json::Value(key.substr(colon + 1)))));
   }
-  if (order.fields.size() > 32) throw_illegal_argument("more than 32 sort keys");
   return order;
 }
 
--- a/tests/search_test.cpp
+++ b/tests/search_test.cpp
@@ -4,13 +4,14 @@
 #include <sodium.h>
 
 #include "kelpdeal/search/bulk.h"
-#include "kelpdeal/search/cursor.h"
+#include "kelpdeal/search/cursor_registry.h"
 #include "kelpdeal/search/dates.h"
 #include "kelpdeal/search/fanout.h"
 #include "kelpdeal/search/filter_path.h"
 #include "kelpdeal/search/reduce.h"
 #include "kelpdeal/search/tasks.h"
 #include "kelpdeal/search/template.h"
+#include "kelpdeal/search/wildcard.h"
 
 namespace kelpdeal::search {
 namespace {
@@ -372,6 +373,11 @@
   EXPECT_EQ(cancelled_count, 2);  // cancelled only once
 }
 
+json::Value render_template(const json::Value& source, const json::Value& parameters, std::size_t max_bytes) {
+  TemplateBudget budget;
+  return search::render_template(source, parameters, max_bytes, {}, budget);
+}
+
 // Guards against a template that holds the event loop for good: nested sections over a list multiply the work
 // and write nothing (docs/incidents/one-peer-holds-the-loop.md).
 TEST(Templates, SectionsThatWriteNothingAreBounded) {
@@ -385,15 +391,15 @@
   const std::string templates[] = {"{{#a}}{{#a}}{{#a}}{{#a}}{{/a}}{{/a}}{{/a}}{{/a}}",
                                    "{{#a}}" + visits + "{{/a}}", "{{=< >=}}<#a><#a><#a><#a></a></a></a></a>"};
   for (const std::string& text : templates)
-    EXPECT_THROW(search::render_template(json::Value(text), values, 1 << 20, {}), search::ApiError);
-  const json::Value rendered = search::render_template(
-      json::Value(std::string(R"({"terms":[{{#a}}"{{.}}",{{/a}}"end"]})")), values, 1 << 20, {});
+    EXPECT_THROW(render_template(json::Value(text), values, 1 << 20), search::ApiError);
+  const json::Value rendered =
+      render_template(json::Value(std::string(R"({"terms":[{{#a}}"{{.}}",{{/a}}"end"]})")), values, 1 << 20);
   EXPECT_EQ(rendered.find("terms")->array()->size(), 1001u);
 }
 
 TEST(Templates, EscapeValuesAndBoundOutput) {
   const auto render = [](const char* source, const char* parameters) {
-    return json::write(render_template(Value(source), parsed(parameters), 500, {}));
+    return json::write(render_template(Value(source), parsed(parameters), 500));
   };
   EXPECT_EQ(render(R"({"a":"{{x}}"})", R"({"x":"\"},{"})"), R"({"a":"\"},{"})");
   EXPECT_EQ(render(R"({"a":[{{#l}}{{.}},{{/l}}0]})", R"({"l":[1,2]})"), R"({"a":[1,2,0]})");
