--- a/include/kelpdeal/broker.h
+++ b/include/kelpdeal/broker.h
@@ -41,7 +41,8 @@
 // A client's request as a front passes it to the broker.
 struct QueryRequest {
   std::string id, class_name;
-  std::string key;       // idempotency key, for keyed classes
+  std::string key;            // idempotency key, for keyed classes
+  std::string document_id{};  // name under which a node with an API stores the text; empty: the key
   std::string tenant{};  // a tenant name from the settings; empty or unknown: no tenant, never over its share
   std::string text;      // forwarded to every node unchanged
   bool repeat = false;   // the client marked this request as a retry
@@ -68,6 +69,7 @@
   TimePoint begin_by = kNever;
   // Identifies the query within this process; `query` is its client's id, which another query may bear later.
   cottonbay::RequestId query_number = 0;
+  std::string document_id{};  // as in the request
 };
 
 // How an attempt ended and, if it succeeded, the node's value.
--- a/include/kelpdeal/json.h
+++ b/include/kelpdeal/json.h
@@ -153,6 +153,8 @@
 // On several lines, indented by two spaces; on one line if that would take more than `max_bytes`, as the
 // spaces can make up most of a deeply nested text.
 std::string write_pretty(const Value& value, std::size_t max_bytes = 16 << 20);
+// Valid JSON text without the white space between its tokens.
+std::string compact(std::string_view text);
 // A quoted and escaped JSON string.
 std::string quote(std::string_view text);
 
--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -19,6 +19,7 @@
 #include "kelpdeal/search/bulk.h"
 #include "kelpdeal/search/cursor_registry.h"
 #include "kelpdeal/search/fanout.h"
+#include "kelpdeal/search/operation.h"
 #include "kelpdeal/search/request.h"
 #include "kelpdeal/search/tasks.h"
 #include "kelpdeal/search/template.h"
@@ -165,8 +166,7 @@
   struct ReadDefaults;
   Task<void> fetch_item(const json::Value& spec, const ReadDefaults& defaults, const Call& call,
                         CancellationToken& caller, json::Value& out, Mailbox<int>& done);
-  Write prepare_write(const std::string& index, const std::string& id, const std::string& routing,
-                      bool create, std::string document, const std::string& key) const;
+  Write prepare_write(search::Operation operation);
 
   // src/front/opensearch/cluster_calls.cpp
   Task<Answer> info(Call& call, CancellationToken& caller);
--- a/include/kelpdeal/search/bulk.h
+++ b/include/kelpdeal/search/bulk.h
@@ -58,8 +58,4 @@
   std::size_t line_count_ = 0;
 };
 
-// The key by which a node recognizes a repetition of the same write: 32 hexadecimal digits.
-std::string idempotency_key(std::string_view client_key, std::string_view index, std::string_view id,
-                            std::string_view document);
-
 }  // namespace kelpdeal::search
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -269,6 +269,7 @@
       attempt.shard = parts[send_event->part].shard;
       attempt.begin_by = send_event->begin_by;
       attempt.query_number = query;
+      attempt.document_id = request.document_id;
       if (const auto& text = parts[send_event->part].text) attempt.text = *text;
       driver_->dispatch(send_event->node, std::move(attempt));
 
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "call.h"
+#include "kelpdeal/search/operation.h"
 
 namespace kelpdeal {
 
@@ -13,42 +14,49 @@
 // A document to be written.
 struct OpenSearchFront::Write {
   const IndexContract* index = nullptr;
-  std::string class_name, id, routing, key, document;
-  bool create = false;
+  std::string class_name;
+  search::Operation operation;
+  std::string id, key;           // under which the document is recorded, and by which a repeat is told
   bool has_action_line = false;  // the node receives an action line before the document
   std::optional<Duration> timeout;
   std::string action_name;  // action name of a bulk item
 };
 
-OpenSearchFront::Write OpenSearchFront::prepare_write(const std::string& index_name, const std::string& id,
-                                                      const std::string& routing, bool create,
-                                                      std::string document, const std::string& key) const {
+namespace {
+
+constexpr std::size_t kMaxClientKeyBytes = 64;
+
+// The request's Idempotency-Key; empty if it has none. Throws ApiError.
+std::string client_key_of(const Call& call) {
+  const std::string* key = call.http.headers.find("Idempotency-Key");
+  if (!key) return {};
+  if (key->size() > kMaxClientKeyBytes || key->find_first_of(" ,=+\n") != std::string::npos)
+    throw ApiError{400, "action_request_validation_exception", "Idempotency-Key is malformed", {}, {}};
+  return *key;
+}
+
+}  // namespace
+
+// `operation.index` is the name that the client gave.
+OpenSearchFront::Write OpenSearchFront::prepare_write(search::Operation operation) {
   Write write;
-  write.index = &single_index(index_name);
+  write.index = &single_index(operation.index);
   const IndexContract& index = *write.index;
   write.has_action_line = !index.write_class.empty();
   write.class_name = write.has_action_line ? index.write_class : index.class_name;
   if (broker_.find_class(write.class_name)->effect == cottonbay::Effect::idempotent)
     throw_illegal_argument("index [" + index.name + "] takes searches, not documents");
-  write.id = id;
-  write.create = create;
-  write.routing = routing;
-  write.document = std::move(document);
-  if (!key.empty() && (key.size() > 64 || key.find_first_of(" ,=+\n") != std::string::npos))
-    throw ApiError{400, "action_request_validation_exception", "Idempotency-Key is malformed", {}, {}};
-  if (write.has_action_line) {
-    write.key = search::idempotency_key(key, index.name, id, write.document);
-  } else {
-    // Without an action line, a node identifies a document only by its key.
-    write.key = key.empty() ? id : key;
-    if (write.key.empty() || write.key.size() > 64 || write.key.find_first_of(" ,=+\n") != std::string::npos)
-      throw ApiError{400,
-                     "action_request_validation_exception",
-                     "Idempotency-Key is missing or malformed, and the path names no id",
-                     {},
-                     {}};
-    if (write.id.empty()) write.id = write.key;
-  }
+  if (!write.has_action_line && operation.client_key.empty() && operation.id.empty())
+    throw ApiError{400,
+                   "action_request_validation_exception",
+                   "Idempotency-Key is missing, and the path names no id",
+                   {},
+                   {}};
+  if (write.has_action_line && operation.id.empty()) operation.id = next_id();
+  operation.index = index.name;
+  write.operation = std::move(operation);
+  write.key = search::identity_of(write.operation);
+  write.id = write.operation.id.empty() ? write.key : write.operation.id;
   return write;
 }
 
@@ -61,22 +69,25 @@
   query.key = write.key;
   query.class_name = write.class_name;
   query.operation = write.has_action_line;
+  query.document_id = write.id;
+  const search::Operation& operation = write.operation;
   if (write.has_action_line) {
     json::Object options{{"_index", index.name}, {"_id", write.id}};
-    if (!write.routing.empty()) options.emplace_back("routing", write.routing);
-    const bool one_line = write.document.find('\n') == std::string::npos;
+    if (!operation.routing.empty()) options.emplace_back("routing", operation.routing);
     std::string error;
-    query.text = json::write(json::Object{{write.create ? "create" : "index", std::move(options)}}) + "\n" +
-                 (one_line ? write.document
-                           : json::write(json::parse(write.document, error).value_or(json::Object{}))) +
+    const bool one_line = operation.document.find('\n') == std::string::npos;
+    query.text = json::write(json::Object{{operation.create ? "create" : "index", std::move(options)}}) +
+                 "\n" +
+                 (one_line ? operation.document
+                           : json::write(json::parse(operation.document, error).value_or(json::Object{}))) +
                  "\n";
   } else {
-    query.text = write.document;
+    query.text = operation.document;
   }
   const Duration deadline = to_duration(FractionalMs(class_settings->deadline_ms));
   const Duration budget = std::min(deadline, write.timeout.value_or(deadline));
   query.expires = call.received + budget - std::min(limits_.reply_transit_margin, budget);
-  const int slice = slice_for_routing(index, write.routing.empty() ? write.id : write.routing);
+  const int slice = slice_for_routing(index, operation.routing.empty() ? write.id : operation.routing);
   query.parts.push_back({slice, 1.0, std::nullopt});
   const Reply reply = co_await broker_.serve(std::move(query), caller);
 
@@ -123,8 +134,12 @@
 }
 
 Task<Answer> OpenSearchFront::write_document(Call& call, CancellationToken& caller) {
-  const std::string* key = call.http.headers.find("Idempotency-Key");
-  const std::string routing = call.parameters.get("routing").value_or("");
+  search::Operation operation;
+  operation.client_key = client_key_of(call);
+  operation.team = call.team;
+  operation.index = call.index;
+  operation.id = call.id;
+  operation.routing = call.parameters.get("routing").value_or("");
   const auto timeout = call.parameters.get("timeout");
   const std::string op_type = call.parameters.get("op_type").value_or("index");
   if (op_type != "index" && op_type != "create")
@@ -134,17 +149,15 @@
     throw_illegal_argument("[refresh] is not taken: when a document can be found is the nodes' business");
   call.parameters.accept("wait_for_active_shards require_alias");
   call.reject_unknown_parameters();
-  const bool create = call.pattern.find("_create") != std::string::npos || op_type == "create";
-  const IndexContract& index = single_index(call.index);
-  std::string id = call.id;
-  if (id.empty() && !index.write_class.empty()) id = next_id();
-  if (id.size() > 512) throw_illegal_argument("id is too long, must be no longer than 512 bytes");
-  Write write = prepare_write(call.index, id, routing, create, call.http.body, key ? *key : "");
+  operation.create = call.pattern.find("_create") != std::string::npos || op_type == "create";
+  if (operation.id.size() > 512) throw_illegal_argument("id is too long, must be no longer than 512 bytes");
   std::string error;
   const auto document = json::parse(call.http.body, error, limits_.search_json);
   if (!document || !document->object())
     throw ApiError{
         400, "mapper_parsing_exception", document ? "the document is not an object" : error, {}, {}};
+  operation.document = call.http.body;
+  Write write = prepare_write(std::move(operation));
   if (timeout) write.timeout = search::parse_time(*timeout, "timeout");
   co_return co_await execute_write(write, call, caller);
 }
@@ -372,7 +385,7 @@
   if (!call.index.empty()) single_index(call.index);
   std::optional<Duration> timeout;
   if (timeout_text) timeout = search::parse_time(*timeout_text, "timeout");
-  const std::string* bulk_key = call.http.headers.find("Idempotency-Key");
+  const std::string client_key = client_key_of(call);
 
   search::LineSplitter lines(limits_.max_bulk_line_bytes);
   search::BulkParser reader(call.index, limits_.search_json);
@@ -452,13 +465,9 @@
       }
       auto write = std::make_shared<Write>();
       try {
-        const IndexContract& index = single_index(item->index);
-        if (item->id.empty() && !index.write_class.empty()) item->id = next_id();
-        // The header's key identifies the whole bulk: each item gets its own key derived from it.
-        *write = prepare_write(
-            item->index, item->id, item->routing.empty() ? routing : item->routing,
-            item->action == search::BulkItem::Action::create, std::move(item->document),
-            bulk_key ? search::idempotency_key(*bulk_key, "", std::to_string(items.size()), "") : "");
+        *write = prepare_write({client_key, call.team, item->index, item->id,
+                                item->routing.empty() ? routing : item->routing,
+                                item->action == search::BulkItem::Action::create, std::move(item->document)});
       } catch (const ApiError& error) {
         add_refused_item(*item, error);
         continue;
--- a/src/node/opensearch/opensearch_transport.cpp
+++ b/src/node/opensearch/opensearch_transport.cpp
@@ -81,7 +81,7 @@
     request.target += "/_bulk";
   } else if (write) {
     request.method = "PUT";
-    request.target += "/_doc/" + percent_encode(part.key);
+    request.target += "/_doc/" + percent_encode(part.document_id.empty() ? part.key : part.document_id);
     request.headers.fields.emplace_back("Idempotency-Key", part.key);
   } else {
     request.target += "/_search";
--- a/src/parse/json.cpp
+++ b/src/parse/json.cpp
@@ -748,6 +748,18 @@
   return value && value->string() ? *value->string() : std::string();
 }
 
+std::string compact(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (std::size_t at = 0; (at = skip_space(text, at)) < text.size();) {
+    std::size_t end = at + 1;
+    if (text[at] == '"') end = skip_string(text, end);
+    out.append(text, at, end - at);
+    at = end;
+  }
+  return out;
+}
+
 std::string quote(std::string_view text) {
   std::string out;
   append_quoted(out, text);
--- a/src/search/bulk.cpp
+++ b/src/search/bulk.cpp
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: MIT
 #include "kelpdeal/search/bulk.h"
 
-#include <sodium.h>
-
 #include <algorithm>
 
 #include "kelpdeal/search/api_error.h"
@@ -110,20 +108,4 @@
   return std::nullopt;
 }
 
-std::string idempotency_key(std::string_view client_key, std::string_view index, std::string_view id,
-                            std::string_view document) {
-  unsigned char hash[16];
-  crypto_generichash_state state;
-  crypto_generichash_init(&state, nullptr, 0, sizeof hash);
-  for (const std::string_view part : {client_key, index, id, document}) {
-    const std::string size = std::to_string(part.size()) + ":";
-    for (const std::string_view bytes : {std::string_view(size), part})
-      crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size());
-  }
-  crypto_generichash_final(&state, hash, sizeof hash);
-  char text[2 * sizeof hash + 1];
-  sodium_bin2hex(text, sizeof text, hash, sizeof hash);
-  return text;
-}
-
 }  // namespace kelpdeal::search
--- /dev/null
+++ b/tests/operation_identity_test.cpp
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: MIT
+// The identity of writes through the search front (docs/incidents/operation-identity.md): the same operation
+// has the same key at the record nodes however it arrives, and two that differ have different ones.
+#include <gtest/gtest.h>
+
+#include "conformance/search_fixture.h"
+#include "kelpdeal/search/operation.h"
+
+namespace kelpdeal::test {
+namespace {
+
+using search::identity_of;
+using search::Operation;
+
+TEST(OperationIdentity, DiffersInEachThingThatTheClientSends) {
+  const Operation operation{"key", "team", "index", "id", "routing", false, R"({"a":1})"};
+  EXPECT_EQ(identity_of(operation), identity_of(operation));
+  EXPECT_EQ(identity_of(operation).size(), 32u);
+  std::set<std::string> identities{identity_of(operation)};
+  const auto changed = [&](auto change) {
+    Operation other = operation;
+    change(other);
+    return identities.insert(identity_of(other)).second;
+  };
+  EXPECT_TRUE(changed([](Operation& other) { other.client_key = "kex"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.team = ""; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.index = "indey"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.id = ""; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.routing = "r"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.create = true; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.document = R"({"a":1.0})"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.document = R"({"a":"1"})"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.document = R"({"a":" 1"})"; }));
+  // Texts that follow each other are not hashed as one.
+  EXPECT_TRUE(changed([](Operation& other) { other.id = "idr", other.routing = "outing"; }));
+  EXPECT_TRUE(changed([](Operation& other) { other.client_key = "keyteam", other.team = ""; }));
+}
+
+TEST(OperationIdentity, IgnoresWhiteSpaceBetweenTokens) {
+  const Operation line{"k", "", "i", "", "", false, R"({"a":[1,"b c"],"d":"\" }"})"};
+  Operation lines = line;
+  lines.document = "\n{\r\n  \"a\" : [ 1,\t\"b c\" ],\n  \"d\" : \"\\\" }\"\n}\n";
+  EXPECT_EQ(identity_of(line), identity_of(lines));
+}
+
+// What the record nodes received: key, shard and text of each part.
+struct Received {
+  std::string key, text;
+  int shard = 0;
+  bool operator==(const Received&) const = default;
+};
+
+class IdentityThroughTheFront : public testing::TestWithParam<Api> {
+ protected:
+  struct Sent {
+    const char* method;
+    std::string target, body, key{}, team{};
+  };
+  // The parts that the nodes received for a request, in the order of their texts. The request goes to a
+  // coordinator that has just started, which draws what no other one has drawn.
+  std::vector<Received> parts_of(const Sent& sent, json::Value* answer = nullptr) {
+    SearchFixture fixture(GetParam());
+    std::vector<Received> parts;
+    for (auto& node : fixture.world.nodes)
+      node->on_part = [&parts](const ReceivedPart& part) {
+        parts.push_back({part.key, part.text, part.shard});
+        NodeReply reply;
+        reply.value = R"({"status":201,"result":"created"})";
+        if (part.class_name == "inspection-log" && part.text.find('\n') == std::string::npos)
+          reply.value = {};
+        return reply;
+      };
+    fixture.world.run([&]() -> Task<void> {
+      http::Request request;
+      request.method = sent.method;
+      request.target = sent.target;
+      request.body = sent.body;
+      if (!sent.key.empty()) request.headers.fields.emplace_back("Idempotency-Key", sent.key);
+      if (!sent.team.empty()) request.headers.fields.emplace_back("X-Team", sent.team);
+      const std::string address = fixture.world.front_address();
+      const http::Response response = co_await fixture.world.send(address, std::move(request));
+      if (answer) *answer = body_of(response);
+      status_ = response.status;
+    }());
+    std::sort(parts.begin(), parts.end(),
+              [](const Received& a, const Received& b) { return a.text < b.text; });
+    return parts;
+  }
+  int status_ = 0;
+};
+
+TEST_P(IdentityThroughTheFront, IsTheSameAloneAndInAnyBulk) {
+  const std::string a = R"({"unit":"A","n":1234567890})", b = R"({"unit":"B"})";
+  for (const std::string& index : {std::string("log"), std::string("lifts")})
+    for (const bool with_id : {true}) {
+      const auto line = [&](const char* id, const std::string& document) {
+        return "{\"index\":{" + (with_id ? "\"_id\":\"" + std::string(id) + "\"" : std::string()) + "}}\n" +
+               document + "\n";
+      };
+      const std::string bulk = "/" + index + "/_bulk?routing=r7", alone = "/" + index + "/_doc";
+      const auto both = parts_of({"POST", bulk, line("a", a) + line("b", b), "k1"});
+      ASSERT_EQ(both.size(), 2u) << index;
+      EXPECT_NE(both[0].key, both[1].key);
+      EXPECT_EQ(parts_of({"POST", bulk, line("b", b) + line("a", a), "k1"}), both);
+      EXPECT_EQ(parts_of({"POST", bulk, line("b", b), "k1"}), std::vector{both[1]});
+      const std::string path = with_id ? alone + "/a" : alone;
+      EXPECT_EQ(parts_of({"POST", path + "?routing=r7", a, "k1"}), std::vector{both[0]});
+      const auto repeated =
+          parts_of({"POST", path + "?routing=r7", "{\n \"unit\": \"A\",\n \"n\": 1234567890\n}\n", "k1"});
+      ASSERT_EQ(repeated.size(), 1u);
+      EXPECT_EQ(repeated[0].key, both[0].key);
+      EXPECT_EQ(repeated[0].shard, both[0].shard);
+      const auto other_key = parts_of({"POST", bulk, line("a", a), "k2"});
+      ASSERT_EQ(other_key.size(), 1u);
+      EXPECT_NE(other_key[0].key, both[0].key);
+      const auto other_team = parts_of({"POST", bulk, line("a", a), "k1", "t2"});
+      ASSERT_EQ(other_team.size(), 1u);
+      EXPECT_NE(other_team[0].key, both[0].key);
+    }
+}
+
+TEST_P(IdentityThroughTheFront, OfTwoDocumentsUnderOneIdDiffers) {
+  for (const char* target : {"/lifts/_doc/a", "/log/_doc/a"}) {
+    const auto first = parts_of({"PUT", target, R"({"n":1})"}),
+               second = parts_of({"PUT", target, R"({"n":2})"});
+    ASSERT_EQ(first.size(), 1u);
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_NE(first[0].key, second[0].key) << target;
+    EXPECT_EQ(first[0].shard, second[0].shard);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Nodes, IdentityThroughTheFront, testing::Values(Api::platform, Api::opensearch),
+                         node_api_name);
+
+}  // namespace
+}  // namespace kelpdeal::test
