--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -46,17 +46,26 @@
   write.class_name = write.has_action_line ? index.write_class : index.class_name;
   if (broker_.find_class(write.class_name)->effect == cottonbay::Effect::idempotent)
     throw_illegal_argument("index [" + index.name + "] takes searches, not documents");
+  // What the client does not send again must not be part of a repeatable operation.
+  if (!operation.client_key.empty() && operation.index.starts_with('<'))
+    throw_illegal_argument(
+        "a repeat under the same Idempotency-Key could be for another index: name it without "
+        "date math");
   if (!write.has_action_line && operation.client_key.empty() && operation.id.empty())
     throw ApiError{400,
                    "action_request_validation_exception",
                    "Idempotency-Key is missing, and the path names no id",
                    {},
                    {}};
-  if (write.has_action_line && operation.id.empty()) operation.id = next_id();
   operation.index = index.name;
   write.operation = std::move(operation);
   write.key = search::identity_of(write.operation);
-  write.id = write.operation.id.empty() ? write.key : write.operation.id;
+  if (!write.operation.id.empty())
+    write.id = write.operation.id;
+  else if (!write.operation.client_key.empty())
+    write.id = write.key;
+  else  // each request is another operation
+    write.id = write.key = next_id();
   return write;
 }
 
@@ -74,13 +83,9 @@
   if (write.has_action_line) {
     json::Object options{{"_index", index.name}, {"_id", write.id}};
     if (!operation.routing.empty()) options.emplace_back("routing", operation.routing);
-    std::string error;
     const bool one_line = operation.document.find('\n') == std::string::npos;
     query.text = json::write(json::Object{{operation.create ? "create" : "index", std::move(options)}}) +
-                 "\n" +
-                 (one_line ? operation.document
-                           : json::write(json::parse(operation.document, error).value_or(json::Object{}))) +
-                 "\n";
+                 "\n" + (one_line ? operation.document : json::compact(operation.document)) + "\n";
   } else {
     query.text = operation.document;
   }
--- a/tests/operation_identity_test.cpp
+++ b/tests/operation_identity_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
-// The identity of writes through the search front (docs/incidents/operation-identity.md): the same operation
-// has the same key at the record nodes however it arrives, and two that differ have different ones.
+// The identity of writes through the search front (docs/incidents/operation-identity.md and
+// docs/incidents/drawn-document-ids.md): the same operation has the same key at the record nodes however it
+// arrives, and two that differ have different ones.
 #include <gtest/gtest.h>
 
 #include "conformance/search_fixture.h"
@@ -90,9 +91,9 @@
 };
 
 TEST_P(IdentityThroughTheFront, IsTheSameAloneAndInAnyBulk) {
-  const std::string a = R"({"unit":"A","n":1234567890})", b = R"({"unit":"B"})";
+  const std::string a = R"({"unit":"A","n":12345678901234567890})", b = R"({"unit":"B"})";
   for (const std::string& index : {std::string("log"), std::string("lifts")})
-    for (const bool with_id : {true}) {
+    for (const bool with_id : {true, false}) {
       const auto line = [&](const char* id, const std::string& document) {
         return "{\"index\":{" + (with_id ? "\"_id\":\"" + std::string(id) + "\"" : std::string()) + "}}\n" +
                document + "\n";
@@ -105,11 +106,14 @@
       EXPECT_EQ(parts_of({"POST", bulk, line("b", b), "k1"}), std::vector{both[1]});
       const std::string path = with_id ? alone + "/a" : alone;
       EXPECT_EQ(parts_of({"POST", path + "?routing=r7", a, "k1"}), std::vector{both[0]});
-      const auto repeated =
-          parts_of({"POST", path + "?routing=r7", "{\n \"unit\": \"A\",\n \"n\": 1234567890\n}\n", "k1"});
+      const auto repeated = parts_of(
+          {"POST", path + "?routing=r7", "{\n \"unit\": \"A\",\n \"n\": 12345678901234567890\n}\n", "k1"});
       ASSERT_EQ(repeated.size(), 1u);
       EXPECT_EQ(repeated[0].key, both[0].key);
       EXPECT_EQ(repeated[0].shard, both[0].shard);
+      if (index == "lifts") {
+        EXPECT_EQ(repeated[0].text, both[0].text);
+      }
       const auto other_key = parts_of({"POST", bulk, line("a", a), "k2"});
       ASSERT_EQ(other_key.size(), 1u);
       EXPECT_NE(other_key[0].key, both[0].key);
@@ -119,6 +123,37 @@
     }
 }
 
+TEST_P(IdentityThroughTheFront, OfADocumentWithoutIdIsTheSameAtEachCoordinator) {
+  for (const char* target : {"/lifts/_doc", "/log/_doc"}) {
+    json::Value first_answer, second_answer;
+    const auto first = parts_of({"POST", target, R"({"n":1})", "k1"}, &first_answer);
+    const auto second = parts_of({"POST", target, R"({"n":1})", "k1"}, &second_answer);
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_EQ(first, second) << target;
+    EXPECT_EQ(first_answer.text_or("_id", ""), second_answer.text_or("_id", "none"));
+    const auto other = parts_of({"POST", target, R"({"n":2})", "k1"});
+    ASSERT_EQ(other.size(), 1u);
+    EXPECT_NE(other[0].key, first[0].key);
+  }
+}
+
+// Without a key a repeat cannot be told from another document: both are recorded.
+TEST_P(IdentityThroughTheFront, OfADocumentWithNeitherKeyNorIdIsDrawn) {
+  SearchFixture fixture(GetParam());
+  std::set<std::string> keys;
+  for (auto& node : fixture.world.nodes)
+    node->on_part = [&keys](const ReceivedPart& part) {
+      keys.insert(part.key);
+      NodeReply reply;
+      reply.value = R"({"status":201,"result":"created"})";
+      return reply;
+    };
+  fixture.world.run([&]() -> Task<void> {
+    for (int i = 0; i < 3; ++i) co_await fixture.ask("POST", "/lifts/_doc", R"({"n":1})");
+  }());
+  EXPECT_EQ(keys.size(), 3u);
+}
+
 TEST_P(IdentityThroughTheFront, OfTwoDocumentsUnderOneIdDiffers) {
   for (const char* target : {"/lifts/_doc/a", "/log/_doc/a"}) {
     const auto first = parts_of({"PUT", target, R"({"n":1})"}),
@@ -130,6 +165,24 @@
   }
 }
 
+TEST_P(IdentityThroughTheFront, NeedsAnIndexThatARepeatNamesAgain) {
+  json::Value answer;
+  parts_of({"POST", "/%3Cyear-%7Bnow%7Byyyy%7D%7D%3E/_doc", R"({"n":1})", "k1"}, &answer);
+  EXPECT_EQ(status_, 400);
+  EXPECT_NE(answer.text_or("error.reason", "").find("without date math"), std::string::npos);
+  parts_of({"POST", "/lifts/_bulk", "{\"index\":{}}\n{}\n", "k 1"}, &answer);
+  EXPECT_EQ(status_, 400);
+  EXPECT_NE(answer.text_or("error.reason", "").find("malformed"), std::string::npos);
+}
+
+// A document keeps its numbers and its depth when it is put on one line.
+TEST_P(IdentityThroughTheFront, DocumentOnSeveralLinesIsSentUnchanged) {
+  const std::string deep = std::string(60, '[') + "12345678901234567890" + std::string(60, ']');
+  const auto parts = parts_of({"PUT", "/lifts/_doc/a", "{\n\"n\" : " + deep + "\n}"});
+  ASSERT_EQ(parts.size(), 1u);
+  EXPECT_NE(parts[0].text.find("{\"n\":" + deep + "}"), std::string::npos) << parts[0].text;
+}
+
 INSTANTIATE_TEST_SUITE_P(Nodes, IdentityThroughTheFront, testing::Values(Api::platform, Api::opensearch),
                          node_api_name);
 
