Search: aggregations in three files: the request, merging, rendering

aggregations.cpp had grown to over 1,100 lines with three jobs. Moved, not changed; throw_too_many_buckets became a member, as two files use it.

Measured: the tests of aggregations, reducers, bounds and the conformance files pass (Release).

--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -147,6 +147,7 @@
   const char* merge_bucket(const Aggregation& spec, Bucket& bucket, std::string_view input);
   std::pair<Bucket&, bool> find_or_add_bucket(State& state, std::string_view key);
   void count_merged_result();
+  [[noreturn]] static void throw_too_many_buckets(std::size_t max_buckets);
 
   // Rendering: src/search/aggregation_render.cpp.
   json::Object render(const Aggregations& specs, const std::vector<State>& states, bool typed) const;
