--- a/src/search/aggregation_request.cpp
+++ b/src/search/aggregation_request.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: MIT
+// Parses the aggregations of a request, and writes the form of them that is sent to each slice.
 #include <algorithm>
 #include <charconv>
 #include <cmath>
