--- a/tests/bounded_work_test.cpp
+++ b/tests/bounded_work_test.cpp
@@ -57,6 +57,7 @@
   return reason_for("POST", "/_render/template", template_body(source, parameters));
 }
 
+// Guards against a template whose parsing takes time and memory with the square of its length.
 TEST(BoundedWork, TemplateIsMeasuredBeforeItIsParsed) {
   const std::string nested = repeat("{{#a}}", 200) + repeat("{{/a}}", 200);
   EXPECT_NE(render_reason(nested).find("nested deeper than 64"), std::string::npos);
@@ -69,6 +70,7 @@
             std::string::npos);
 }
 
+// Guards against values and texts that are written once for each item of a list, on one line.
 TEST(BoundedWork, TemplateIsBoundedWhileItIsRendered) {
   const std::string list = list_of("1", 50'000);
   const std::string value = json::quote(std::string(10'000, 'x'));
@@ -81,11 +83,13 @@
   EXPECT_NE(render_reason(text, "{\"l\":" + list + "}").find("too many steps"), std::string::npos);
 }
 
+// Guards against a value that includes itself as a template, which ended the process.
 TEST(BoundedWork, TemplatesThatIncludeThemselvesEnd) {
   EXPECT_NE(render_reason("{{>x}}", R"({"x":"{{>x}}{{>x}}"})").find("includes more than 64"),
             std::string::npos);
 }
 
+// Guards against bounds that refuse usual templates.
 TEST(BoundedWork, SoundTemplatesAreRendered) {
   const std::string items = list_of("12345", 20'000);
   const std::string pretty = "{\n" + repeat("  \"member\" : [ 1, 2, 3 ],\n", 2'000) + "  \"end\" : true\n}\n";
@@ -99,6 +103,7 @@
     EXPECT_EQ(render_reason(source, parameters), "") << source.substr(0, 80);
 }
 
+// Guards against a value that is parsed as a template of any depth.
 TEST(BoundedWork, ValueWrittenByToJsonIsNoTemplate) {
   SearchFixture fixture(Api::platform);
   fixture.world.run([&]() -> Task<void> {
@@ -131,6 +136,7 @@
                     [](const ReceivedPart&) { return answer_with(R"({"h":{"buckets":[]}})"); });
 }
 
+// Guards against empty buckets that are made, with all that is nested in them, before they are counted.
 TEST(BoundedWork, ResultOfAggregationsIsBoundedWhileItIsMade) {
   const std::string stats = R"({"extended_stats":{"field":"a"}})";
   EXPECT_NE(gaps_reason(gaps(20'000, "", members("m", stats, 190))).find("would take more than"),
@@ -146,6 +152,7 @@
   EXPECT_EQ(gaps_reason(gaps(20'000, "", members("m", R"({"sum":{"field":"a"}})", 3))), "");
 }
 
+// Guards against buckets that no slice returned and that are made for each bucket around them.
 TEST(BoundedWork, RangesAndFiltersOfEmptyBucketsAreBounded) {
   const std::string stats = members("m", R"({"extended_stats":{"field":"a"}})", 180);
   for (const std::string& nested :
@@ -160,6 +167,7 @@
   }
 }
 
+// Guards against orders that are compared for each pair of buckets.
 TEST(BoundedWork, OrdersOfOneAggregationAreLimited) {
   const auto body = [](std::size_t count) {
     return R"({"size":0,"aggs":{"t":{"terms":{"field":"site","order":)" +
@@ -175,6 +183,7 @@
   return search::parse_search(json::parse(body, error, {100, 100'000}).value_or(json::Value()), none, {});
 }
 
+// Guards against short buckets of nodes that take far more memory than text.
 TEST(BoundedWork, BucketsOfNodesAreCountedBeforeTheyAreKept) {
   const search::SearchRequest request =
       parsed_search(R"({"size":0,"aggs":{"t":{"terms":{"field":"a","size":10000},"aggs":)" +
@@ -201,6 +210,7 @@
 
 // ---- patterns, selections and buffers ----
 
+// Guards against a long pattern that is compared at each place of a long name.
 TEST(BoundedWork, PatternsTakeLinearTime) {
   const std::string name(250'000, 'a');
   const TimePoint start = Clock::now();
@@ -212,6 +222,7 @@
   EXPECT_FALSE(search::matches_wildcard("*ab*ab*", "abba"));
 }
 
+// Guards against many paths that are tried for each member of a large answer.
 TEST(BoundedWork, FilterPathsOverLargeAnswersAreBounded) {
   json::Object wide;
   for (int i = 0; i < 20'000; ++i) wide.emplace_back("m" + std::to_string(i), 1);
@@ -223,6 +234,7 @@
             8'889u);
 }
 
+// Guards against answers whose values are built, or whose depth is written as spaces, to indent them.
 TEST(BoundedWork, PrettyAnswersKeepTheirNumbersAndStaySmall) {
   const json::Value raw =
       json::Object{{"a", json::Raw{R"([1.0,{"b":"x, {y}","c":[ ]}])"}}, {"d", json::Array{}}};
@@ -232,6 +244,7 @@
   EXPECT_EQ(json::write_pretty(raw, 20), json::write(raw) + "\n");
 }
 
+// Guards against buffers that are moved or searched again for each small piece.
 TEST(BoundedWork, SmallPiecesOfLargeInputTakeLinearTime) {
   const TimePoint start = Clock::now();
   constexpr std::size_t kPieces = 200'000;
@@ -261,6 +274,7 @@
 
 // ---- tables, cursors and multi-item requests ----
 
+// Guards against a table that is sorted and written once for each repeated name.
 TEST(BoundedWork, RepeatedColumnsOfATableCountOnce) {
   SearchFixture fixture(Api::platform);
   fixture.world.run([&]() -> Task<void> {
@@ -274,6 +288,7 @@
   }());
 }
 
+// Guards against searching all cleared cursors for each one, and a record that only grows.
 TEST(BoundedWork, ClearingCursorsTakesTimeForThoseClearedOnly) {
   search::CursorRegistry registry({500, 10'000, 24h});
   const auto now = search::WallClock::now();
@@ -293,6 +308,7 @@
   EXPECT_TRUE(registry.clear_all("one more", search::Cursor::Kind::scroll, now + 25h));
 }
 
+// Guards against a long list of fields that is copied for each document.
 TEST(BoundedWork, DefaultsOfAMultiGetAreBoundedTimesItsDocuments) {
   const std::string ids = "{\"ids\":" + list_of("\"a\"", 1'000) + "}";
   const std::string fields = repeat("a,", 6'000);
@@ -301,6 +317,7 @@
   EXPECT_EQ(reason_for("POST", "/lifts/_mget?_source=register,site", ids), "");
 }
 
+// Guards against millions of lines that are kept before they are counted.
 TEST(BoundedWork, LinesOfAMultiSearchAreCountedAsTheyAreSplit) {
   EXPECT_NE(reason_for("POST", "/_msearch", std::string(900'000, '\n')).find("more than 200 searches"),
             std::string::npos);
--- a/tests/operation_identity_test.cpp
+++ b/tests/operation_identity_test.cpp
@@ -13,6 +13,7 @@
 using search::identity_of;
 using search::Operation;
 
+// Guards against two operations that share an identity, so that one is dropped.
 TEST(OperationIdentity, DiffersInEachThingThatTheClientSends) {
   const Operation operation{"key", "team", "index", "id", "routing", false, R"({"a":1})"};
   EXPECT_EQ(identity_of(operation), identity_of(operation));
@@ -37,6 +38,7 @@
   EXPECT_TRUE(changed([](Operation& other) { other.client_key = "keyteam", other.team = ""; }));
 }
 
+// Guards against a document that is another one alone than on a line of a bulk.
 TEST(OperationIdentity, IgnoresWhiteSpaceBetweenTokens) {
   const Operation line{"k", "", "i", "", "", false, R"({"a":[1,"b c"],"d":"\" }"})"};
   Operation lines = line;
@@ -90,6 +92,7 @@
   int status_ = 0;
 };
 
+// Guards against an identity made of the item's place in its bulk (review/7).
 TEST_P(IdentityThroughTheFront, IsTheSameAloneAndInAnyBulk) {
   const std::string a = R"({"unit":"A","n":12345678901234567890})", b = R"({"unit":"B"})";
   for (const std::string& index : {std::string("log"), std::string("lifts")})
@@ -123,6 +126,7 @@
     }
 }
 
+// Guards against an id that is drawn under a key, so that a repeat is recorded again (review/8).
 TEST_P(IdentityThroughTheFront, OfADocumentWithoutIdIsTheSameAtEachCoordinator) {
   for (const char* target : {"/lifts/_doc", "/log/_doc"}) {
     json::Value first_answer, second_answer;
@@ -154,6 +158,7 @@
   EXPECT_EQ(keys.size(), 3u);
 }
 
+// Guards against a second document under an id that is dropped as a repeat of the first.
 TEST_P(IdentityThroughTheFront, OfTwoDocumentsUnderOneIdDiffers) {
   for (const char* target : {"/lifts/_doc/a", "/log/_doc/a"}) {
     const auto first = parts_of({"PUT", target, R"({"n":1})"}),
@@ -165,6 +170,7 @@
   }
 }
 
+// Guards against an index that the clock chooses, and a malformed key of a bulk.
 TEST_P(IdentityThroughTheFront, NeedsAnIndexThatARepeatNamesAgain) {
   json::Value answer;
   parts_of({"POST", "/%3Cyear-%7Bnow%7Byyyy%7D%7D%3E/_doc", R"({"n":1})", "k1"}, &answer);
