--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -17,6 +17,7 @@
 #include "kelpdeal/search/bulk.h"
 #include "kelpdeal/search/cursor.h"
 #include "kelpdeal/search/filter_path.h"
+#include "kelpdeal/search/operation.h"
 #include "kelpdeal/search/reduce.h"
 #include "kelpdeal/search/request.h"
 #include "kelpdeal/search/template.h"
@@ -162,7 +163,8 @@
 
 void fuzz_bulk(const std::string& bytes) {
   check(read_bulk(bytes, false) == read_bulk(bytes, true), "a bulk in pieces is parsed like a whole one");
-  for (char c : search::idempotency_key(bytes, "a", "b", "c"))
+  const search::Operation operation{bytes, "a", "b", "c", bytes, false, bytes};
+  for (const char c : search::identity_of(operation))
     check(std::isxdigit(static_cast<unsigned char>(c)), "a write key is hexadecimal");
 }
 
