--- a/src/search/aggregation_render.cpp
+++ b/src/search/aggregation_render.cpp
@@ -343,7 +343,7 @@
   const auto value = [&](const char* name) { return or_null(metric_value(state, name)); };
   json::Object out;
   if (spec.kind == Kind::value_count) return json::Object{{"value", totals.count}};
-  if (spec.kind != Kind::stats && spec.kind != Kind::extended_stats) {
+  if (!several_values) {
     out.emplace_back("value", value("value"));
     const std::string& text = spec.kind == Kind::min ? totals.min_text : totals.max_text;
     if ((spec.kind == Kind::min || spec.kind == Kind::max) && !text.empty())
