Tests: the counted poll() is made with ppoll, so that they build on arm64 too

Cause: teardown_races_test.cpp replaces poll() and called SYS_poll, which arm64 does not have; the tests did not build there. ppoll is on both; the count of calls and the checks are the same.

--- a/tests/teardown_races_test.cpp
+++ b/tests/teardown_races_test.cpp
@@ -15,10 +15,13 @@
 namespace {
 std::size_t poll_calls = 0;
 }
-// Replaces the C library's poll() to count the program's calls.
-extern "C" int poll(pollfd* sockets, nfds_t count, int timeout) {
+// Replaces the C library's poll() to count the program's calls. Made with ppoll, as not every processor's
+// kernel has a system call poll.
+extern "C" int poll(pollfd* sockets, nfds_t count, int timeout_ms) {
   ++poll_calls;
-  return static_cast<int>(::syscall(SYS_poll, sockets, count, timeout));
+  timespec timeout{timeout_ms / 1000, timeout_ms % 1000 * 1'000'000L};
+  return static_cast<int>(
+      ::syscall(SYS_ppoll, sockets, count, timeout_ms < 0 ? nullptr : &timeout, nullptr, std::size_t{0}));
 }
 
 namespace kelpdeal::test {
