--- a/bench/search_pages_run.cpp
+++ b/bench/search_pages_run.cpp
@@ -63,6 +63,22 @@
   return all;
 }
 
+// A name of many parts that is looked up, in vain, in each of the sections around it: all hold its first
+// parts.
+std::string dotted_names_body() {
+  const int sections = 63, parts = 95;
+  std::string inner = "0";
+  for (int depth = sections; depth > 0; --depth) {
+    std::string chain = "0";
+    for (int part = depth; part < parts; ++part) chain = R"({"a":)" + chain + "}";
+    inner = R"({"a":)" + chain + R"(,"b":)" + inner + "}";
+  }
+  const std::string tags = repeat("{{" + repeat("a.", parts) + "a}}", 20);
+  const std::string text =
+      repeat("{{#b}}", sections - 1) + "{{#l}}" + tags + "{{/l}}" + repeat("{{/b}}", sections - 1);
+  return template_body(text, R"({"l":)" + filled("[", "1", "]", 2'000) + R"(,"b":)" + inner + "}");
+}
+
 std::string metrics(std::size_t count) {
   return "{" + members("m", R"({"extended_stats":{"field":"a"}})", count) + "}";
 }
@@ -128,6 +144,13 @@
              for (int i = 0; i < 95; ++i) deep = "[" + deep + "]";
              return template_body("{}", "{\"x\":" + deep + "}");
            }),
+      page("template: dotted names in nested sections", dotted_names_body),
+      page("template: long names of deep parameters",
+           [] {
+             std::string deep = "{" + members(std::string(9'000, 'n'), "1", 100) + "}";
+             for (int i = 0; i < 95; ++i) deep = "[" + deep + "]";
+             return template_body("{}", "{\"x\":" + deep + "}");
+           }),
   };
 }
 
--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -138,7 +138,6 @@
 
   // Merging: src/search/aggregation_merge.cpp.
   State& find_or_add_state(std::vector<State>& states, const Aggregation& spec);
-  const char* merge_all(std::vector<State>& states, std::string_view input);
   const char* merge_one(State& state, std::string_view input);
   const char* merge_terms(State& state, std::string_view input);
   std::size_t merge_terms_bucket(State& state, json::Scanner& members, std::uint64_t& count);
--- a/include/kelpdeal/search/template_shape.h
+++ b/include/kelpdeal/search/template_shape.h
@@ -26,4 +26,7 @@
 // ApiError for a template that exceeds the bounds.
 SectionCosts measure_template(std::string_view text, const TemplateBounds& bounds);
 
+// The name or text of a tag without the white space around it, as the library reads it.
+std::string_view trimmed(std::string_view text);
+
 }  // namespace kelpdeal::search
--- a/src/search/aggregation_merge.cpp
+++ b/src/search/aggregation_merge.cpp
@@ -65,20 +65,17 @@
   return state;
 }
 
-void AggregationReducer::add(std::string_view input) { merge_all(states_, input); }
-
-// The merge functions take text that starts at their value and return where the value ends, so that no text
-// is scanned twice.
-const char* AggregationReducer::merge_all(std::vector<State>& states, std::string_view input) {
+void AggregationReducer::add(std::string_view input) {
   json::Scanner walk(input);
-  if (!walk.is_object()) return nullptr;
+  if (!walk.is_object()) return;
   while (walk.next())
     for (const Aggregation& spec : specs_)
       if (walk.name() == spec.name)
-        walk.skip_to(merge_one(find_or_add_state(states, spec), walk.remaining()));
-  return walk.end();
+        walk.skip_to(merge_one(find_or_add_state(states_, spec), walk.remaining()));
 }
 
+// The merge functions take text that starts at their value and return where the value ends, so that no text
+// is scanned twice.
 const char* AggregationReducer::merge_one(State& state, std::string_view input) {
   const Aggregation& spec = *state.spec;
   if (spec.kind == Kind::terms) return merge_terms(state, input);
--- a/src/search/template.cpp
+++ b/src/search/template.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kMaxTemplateWork = 4'000'000;  // of one template, in the units of TemplateBudget
 constexpr std::size_t kMaxPartials = 64;             // included templates; each can include others
+constexpr std::size_t kComparedBytesPerStep = 64;
 
 // Bounds the work of one rendering while it is done: sections over lists multiply it and need not write
 // anything, and what is written is only handed over at the end of a line.
@@ -54,7 +55,10 @@
   }
   if (const json::Object* members = value.object()) {
     mustache::data object(mustache::data::type::object);
-    for (const auto& [name, member] : *members) object.set(name, to_data(member, budget, depth + 1));
+    for (const auto& [name, member] : *members) {
+      budget.spend(depth * name.size());
+      object.set(name, to_data(member, budget, depth + 1));
+    }
     return object;
   }
   if (value.is_null()) return mustache::data::type::bool_false;
@@ -63,9 +67,10 @@
   return text;
 }
 
-std::string trimmed(const std::string& text) {
-  const std::size_t from = text.find_first_not_of(" \t\n"), to = text.find_last_not_of(" \t\n");
-  return from == std::string::npos ? std::string() : text.substr(from, to - from + 1);
+// The cost of a look-up in one section: each part of the name is looked up, and compared with other names.
+std::size_t lookup_cost(const std::string& name) {
+  const auto dots = static_cast<std::size_t>(std::count(name.begin(), name.end(), '.'));
+  return 1 + dots + name.size() / kComparedBytesPerStep;
 }
 
 // Collects the output.
@@ -86,7 +91,8 @@
 };
 
 // The rendering's view of the parameters, by which its work is counted. A section's rendering counts as the
-// most costly section of that name, a look-up as the values that it may search and the value found.
+// most costly section of that name, a look-up as the parts of the name in each open section and the value
+// found.
 class BoundedContext : public mustache::context<std::string> {
  public:
   BoundedContext(const mustache::data& data, WorkBudget& budget) : context(&data), budget_(budget) {}
@@ -111,7 +117,7 @@
     context::pop();
   }
   const mustache::data* get(const std::string& name) const override {
-    budget_.spend(1 + sections_.size());
+    budget_.spend((1 + sections_.size()) * lookup_cost(name));
     last_name_ = name;
     const mustache::data* found = context::get(name);
     if (found && found->is_string()) budget_.spend(found->string_value().size());
--- a/src/search/template_shape.cpp
+++ b/src/search/template_shape.cpp
@@ -17,12 +17,6 @@
 
 bool is_space(char c) { return std::isspace(static_cast<unsigned char>(c)) != 0; }
 
-std::string_view trimmed(std::string_view text) {
-  while (!text.empty() && is_space(text.front())) text.remove_prefix(1);
-  while (!text.empty() && is_space(text.back())) text.remove_suffix(1);
-  return text;
-}
-
 struct Delimiters {
   std::string_view open = kOpen, close = kClose;
   bool are_default() const { return open == kOpen && close == kClose; }
@@ -152,6 +146,12 @@
 
 }  // namespace
 
+std::string_view trimmed(std::string_view text) {
+  while (!text.empty() && is_space(text.front())) text.remove_prefix(1);
+  while (!text.empty() && is_space(text.back())) text.remove_suffix(1);
+  return text;
+}
+
 SectionCosts measure_template(std::string_view text, const TemplateBounds& bounds) {
   return Measurement(text, bounds).run();
 }
--- a/tests/bounded_work_test.cpp
+++ b/tests/bounded_work_test.cpp
@@ -70,6 +70,24 @@
             std::string::npos);
 }
 
+// Guards against names of many parts, each of which is looked up in each open section.
+TEST(BoundedWork, NamesOfManyPartsAreBoundedTimesTheOpenSections) {
+  constexpr int kSections = 62, kParts = 90;
+  std::string value = "0";
+  for (int depth = kSections; depth > 0; --depth) {
+    const int parts = kParts - depth;
+    value = R"({"a":)" + repeat(R"({"a":)", parts) + "0" + repeat("}", parts) + R"(,"b":)" + value + "}";
+  }
+  const std::string parameters = R"({"l":)" + list_of("1", 1'000) + R"(,"b":)" + value + "}";
+  const std::string tag = "{{" + repeat("a.", kParts) + "a}}";
+  const auto in_sections = [](const std::string& text) {
+    return repeat("{{#b}}", kSections) + text + repeat("{{/b}}", kSections);
+  };
+  EXPECT_EQ(render_reason(in_sections("{{#l}}" + repeat(tag, 5) + "{{/l}}"), parameters),
+            "the template takes too many steps to render");
+  EXPECT_EQ(render_reason("{ " + in_sections(tag) + " }", parameters), "");
+}
+
 // Guards against values and texts that are written once for each item of a list, on one line.
 TEST(BoundedWork, TemplateIsBoundedWhileItIsRendered) {
   const std::string list = list_of("1", 50'000);
