--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -2,7 +2,11 @@
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
 
 #include "kelpdeal/metrics.h"
 #include "kelpdeal/scheduler.h"
@@ -77,6 +81,36 @@
   EXPECT_EQ(order, "12");
 }
 
+// Guards against time-outs of what has arrived: after a long turn of the loop (a large request, a machine
+// that stands still) the sockets are read before the timers run that became due in it.
+TEST(Scheduler, SocketsAreReadBeforeTimersThatBecameDueInALongTurn) {
+  struct Reader : ReadinessHandler {
+    bool ready = false;
+    void on_ready(std::uint32_t) override { ready = true; }
+  };
+  Scheduler scheduler;
+  int ends[2];
+  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+  Reader reader;
+  scheduler.watch(ends[0], EPOLLIN, reader);
+  bool read_before_timer = false;
+  const Timer timer = scheduler.in(5ms, [&] {
+    read_before_timer = reader.ready;
+    scheduler.stop();
+  });
+  const auto long_turn = [&]() -> Task<void> {
+    EXPECT_EQ(::write(ends[1], "x", 1), 1);
+    std::this_thread::sleep_for(20ms);
+    co_return;
+  };
+  scheduler.spawn(long_turn());
+  scheduler.run();
+  EXPECT_TRUE(read_before_timer);
+  scheduler.unwatch(ends[0], reader);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
 TEST(Scheduler, ExceptionOfSpawnedTaskIsRethrownOrPassedToHandler) {
   Scheduler scheduler;
   const auto throws = [&]() -> Task<void> {
