Scheduler: what has arrived is read before the timers run that became due meanwhile

Callers saw: after a long turn of the event loop, or a pause of the machine, parts timed out whose answers lay in the sockets; they were sent again, connections were opened anew, and queries were refused (429, holders).

Cause: run() ran due timers before it polled the descriptors again. An interrupted epoll_wait() and a poll that reports its 64 descriptors in full led to the same.

Change: a turn polls first, resumes coroutines, then runs the timers that were due when the descriptors were polled.

--- a/include/kelpdeal/scheduler.h
+++ b/include/kelpdeal/scheduler.h
@@ -113,6 +113,7 @@
   // Queues a suspended coroutine for resumption.
   void post(std::coroutine_handle<> handle) { runnable_.push_back(handle); }
   // Runs `action` at `when`, or after `delay`, unless the returned handle is cancelled or destroyed first.
+  // Descriptors that are ready at that time are served before it.
   Timer at(TimePoint when, std::function<void()> action);
   Timer in(Duration delay, std::function<void()> action) {
     return at(Clock::now() + delay, std::move(action));
@@ -129,7 +130,7 @@
     return Yield{*this};
   }
   Task<void> sleep_until(TimePoint when);
-  // Resumes the caller once due timers have run and the descriptors have been looked at.
+  // Resumes the caller once the descriptors have been polled and due timers have run.
   Task<void> next_turn() { return sleep_until(Clock::now()); }
   // The number of the current turn of the loop. Each wait for events begins another one.
   std::uint64_t turn() const { return turn_; }
@@ -144,7 +145,9 @@
   RootTask start(Task<void> task, std::list<std::coroutine_handle<>>::iterator position);
   void run_due_timers();
   void resume_runnable();
-  void check_turn_duration(TimePoint turn_started);
+  void check_turn_duration();
+  Milliseconds max_wait(TimePoint now) const;
+  void poll_descriptors();
 
   Descriptor epoll_;
   std::deque<std::coroutine_handle<>> runnable_;
@@ -156,6 +159,10 @@
   std::function<void(Duration)> slow_turn_action_;
   std::uint64_t last_timer_id_ = 0;
   std::uint64_t turn_ = 0;
+  TimePoint turn_started_{};
+  TimePoint polled_until_{};  // what was ready by then has been dispatched
+  int full_batches_ = 0;      // since `polled_until_` was set
+  int resumes_left_ = 0;      // in this turn
   bool stopped_ = false;
 };
 
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -10,9 +10,11 @@
 namespace {
 
 constexpr std::size_t kEventBatchSize = 64;  // events read by one epoll_wait
-constexpr std::int64_t kMaxEpollWaitMs = 60'000;
+constexpr Milliseconds kMaxEpollWait{60'000};
 // Coroutines that wake each other must not hold up timers and descriptors.
-constexpr int kMaxResumesPerTurn = 1'000;
+constexpr int kMaxResumesPerTurn = 500;
+// Descriptors that are always ready must not hold up timers.
+constexpr int kMaxFullBatchesAheadOfTimers = 8;
 
 }  // namespace
 
@@ -117,16 +119,16 @@
     if (event.data.ptr == &handler) event.data.ptr = nullptr;
 }
 
+// A timer that became due while the loop was busy must not run before what has arrived by then is read.
 void Scheduler::run_due_timers() {
-  const TimePoint now = Clock::now();
-  while (!timers_.empty() && timers_.begin()->first.first <= now) {
+  while (!timers_.empty() && timers_.begin()->first.first <= polled_until_) {
     auto node = timers_.extract(timers_.begin());
     node.mapped()();
   }
 }
 
 void Scheduler::resume_runnable() {
-  for (int resumed = 0; resumed < kMaxResumesPerTurn && !runnable_.empty() && !stopped_; ++resumed) {
+  for (; resumes_left_ > 0 && !runnable_.empty() && !stopped_; --resumes_left_) {
     const auto handle = runnable_.front();
     runnable_.pop_front();
     handle.resume();
@@ -138,36 +140,50 @@
   slow_turn_action_ = std::move(action);
 }
 
-void Scheduler::check_turn_duration(TimePoint turn_started) {
+void Scheduler::check_turn_duration() {
   if (!slow_turn_action_) return;
-  const Duration took = Clock::now() - turn_started;
+  const Duration took = Clock::now() - turn_started_;
   if (took > slow_turn_threshold_) slow_turn_action_(took);
 }
 
+// How long epoll_wait() may block at `now`; negative: until an event.
+Milliseconds Scheduler::max_wait(TimePoint now) const {
+  if (!runnable_.empty()) return Milliseconds(0);
+  if (timers_.empty()) return Milliseconds(-1);
+  const auto remaining = std::chrono::ceil<Milliseconds>(timers_.begin()->first.first - now);
+  return std::clamp(remaining, Milliseconds(0), kMaxEpollWait);
+}
+
+void Scheduler::poll_descriptors() {
+  const TimePoint wait_started = Clock::now();
+  const Milliseconds wait = max_wait(wait_started);
+  const int count = ::epoll_wait(epoll_.get(), event_batch_.data(), static_cast<int>(event_batch_.size()),
+                                 static_cast<int>(wait.count()));
+  turn_started_ = Clock::now();
+  ++turn_;
+  resumes_left_ = kMaxResumesPerTurn;
+  if (count < 0) return;  // interrupted by a signal: nothing has been polled
+  const bool more_may_be_ready = static_cast<std::size_t>(count) == event_batch_.size();
+  if (!more_may_be_ready || ++full_batches_ >= kMaxFullBatchesAheadOfTimers) {
+    // A wait that ends without an event has looked at the descriptors at its end.
+    polled_until_ = count == 0 ? wait_started + wait : wait_started;
+    full_batches_ = 0;
+  }
+  for (int i = 0; i < count; ++i)
+    if (event_batch_[i].data.ptr)
+      static_cast<ReadinessHandler*>(event_batch_[i].data.ptr)->on_ready(event_batch_[i].events);
+  for (int i = 0; i < count; ++i) event_batch_[i].data.ptr = nullptr;
+}
+
 void Scheduler::run() {
   stopped_ = false;
-  TimePoint turn_started = Clock::now();
   while (!stopped_) {
+    poll_descriptors();
     resume_runnable();
     run_due_timers();
+    resume_runnable();
     if (uncaught_exception_) std::rethrow_exception(std::exchange(uncaught_exception_, nullptr));
-    if (stopped_) break;
-    int wait_ms = -1;
-    if (!runnable_.empty()) {
-      wait_ms = 0;
-    } else if (!timers_.empty()) {
-      const auto remaining = std::chrono::ceil<Milliseconds>(timers_.begin()->first.first - Clock::now());
-      wait_ms = static_cast<int>(std::clamp<std::int64_t>(remaining.count(), 0, kMaxEpollWaitMs));
-    }
-    check_turn_duration(turn_started);
-    const int count =
-        ::epoll_wait(epoll_.get(), event_batch_.data(), static_cast<int>(event_batch_.size()), wait_ms);
-    turn_started = Clock::now();
-    ++turn_;
-    for (int i = 0; i < count; ++i)
-      if (event_batch_[i].data.ptr)
-        static_cast<ReadinessHandler*>(event_batch_[i].data.ptr)->on_ready(event_batch_[i].events);
-    for (int i = 0; i < count; ++i) event_batch_[i].data.ptr = nullptr;
+    if (!stopped_) check_turn_duration();
   }
 }
 
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -4,8 +4,12 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <csignal>
+#include <deque>
 #include <thread>
 
 #include "kelpdeal/metrics.h"
@@ -81,34 +85,119 @@
   EXPECT_EQ(order, "12");
 }
 
+// A socket pair of which one end is watched.
+struct WatchedSocket : ReadinessHandler {
+  explicit WatchedSocket(Scheduler& watching) : scheduler(watching) {
+    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+    scheduler.watch(ends[0], EPOLLIN, *this);
+  }
+  ~WatchedSocket() override {
+    scheduler.unwatch(ends[0], *this);
+    for (const int end : ends) ::close(end);
+  }
+  void on_ready(std::uint32_t) override { seen = true; }
+  void send_byte() const { EXPECT_EQ(::write(ends[1], "x", 1), 1); }
+
+  Scheduler& scheduler;
+  int ends[2] = {-1, -1};
+  bool seen = false;
+};
+
 // Guards against time-outs of what has arrived: after a long turn of the loop (a large request, a machine
 // that stands still) the sockets are read before the timers run that became due in it.
 TEST(Scheduler, SocketsAreReadBeforeTimersThatBecameDueInALongTurn) {
-  struct Reader : ReadinessHandler {
-    bool ready = false;
-    void on_ready(std::uint32_t) override { ready = true; }
-  };
   Scheduler scheduler;
-  int ends[2];
-  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
-  Reader reader;
-  scheduler.watch(ends[0], EPOLLIN, reader);
+  WatchedSocket socket(scheduler);
   bool read_before_timer = false;
   const Timer timer = scheduler.in(5ms, [&] {
-    read_before_timer = reader.ready;
+    read_before_timer = socket.seen;
     scheduler.stop();
   });
   const auto long_turn = [&]() -> Task<void> {
-    EXPECT_EQ(::write(ends[1], "x", 1), 1);
+    socket.send_byte();
     std::this_thread::sleep_for(20ms);
     co_return;
   };
   scheduler.spawn(long_turn());
   scheduler.run();
   EXPECT_TRUE(read_before_timer);
-  scheduler.unwatch(ends[0], reader);
-  ::close(ends[0]);
-  ::close(ends[1]);
+}
+
+// As above, for more sockets than one poll of the loop reports.
+TEST(Scheduler, ManyReadySocketsAreReadBeforeTimersThatBecameDueInALongTurn) {
+  Scheduler scheduler;
+  std::deque<WatchedSocket> sockets;
+  for (int i = 0; i < 200; ++i) sockets.emplace_back(scheduler);
+  std::ptrdiff_t read_before_timer = 0;
+  const Timer timer = scheduler.in(5ms, [&] {
+    read_before_timer =
+        std::count_if(sockets.begin(), sockets.end(), [](const WatchedSocket& one) { return one.seen; });
+    scheduler.stop();
+  });
+  const auto long_turn = [&]() -> Task<void> {
+    for (const WatchedSocket& socket : sockets) socket.send_byte();
+    std::this_thread::sleep_for(20ms);
+    co_return;
+  };
+  scheduler.spawn(long_turn());
+  scheduler.run();
+  EXPECT_EQ(read_before_timer, std::ssize(sockets));
+}
+
+// As above, for a process that stands still while it waits: a signal ends the wait without a poll.
+TEST(Scheduler, SocketsAreReadBeforeTimersThatBecameDueInAnInterruptedWait) {
+  static const WatchedSocket* arriving = nullptr;
+  struct sigaction action {};
+  struct sigaction previous {};
+  action.sa_handler = [](int) {
+    const timespec pause{0, 30'000'000};
+    arriving->send_byte();
+    ::nanosleep(&pause, nullptr);
+  };
+  Scheduler scheduler;
+  WatchedSocket socket(scheduler);
+  arriving = &socket;
+  ::sigaction(SIGALRM, &action, &previous);
+  const itimerval alarm{{0, 0}, {0, 5'000}};
+  ::setitimer(ITIMER_REAL, &alarm, nullptr);
+  bool read_before_timer = false;
+  const Timer timer = scheduler.in(20ms, [&] {
+    read_before_timer = socket.seen;
+    scheduler.stop();
+  });
+  scheduler.run();
+  ::sigaction(SIGALRM, &previous, nullptr);
+  EXPECT_TRUE(read_before_timer);
+}
+
+// Descriptors that are always ready, as these are never read, must not hold up timers.
+TEST(Scheduler, TimersRunBesideManySocketsThatStayReady) {
+  Scheduler scheduler;
+  std::deque<WatchedSocket> sockets;
+  for (int i = 0; i < 200; ++i) sockets.emplace_back(scheduler).send_byte();
+  const auto deadline = Clock::now() + 10s;
+  bool fired = false;
+  const Timer timer = scheduler.in(5ms, [&] {
+    fired = Clock::now() < deadline;
+    scheduler.stop();
+  });
+  scheduler.run();
+  EXPECT_TRUE(fired);
+}
+
+// A coroutine that gives up the rest of its turn is resumed in the next one.
+TEST(Scheduler, NextTurnBeginsWithTheNextPoll) {
+  Scheduler scheduler;
+  std::uint64_t turns = 0;
+  const auto waits = [&]() -> Task<void> {
+    const std::uint64_t before = scheduler.turn();
+    co_await scheduler.next_turn();
+    turns = scheduler.turn() - before;
+    scheduler.stop();
+  };
+  scheduler.spawn(waits());
+  scheduler.run();
+  EXPECT_EQ(turns, 1u);
 }
 
 TEST(Scheduler, ExceptionOfSpawnedTaskIsRethrownOrPassedToHandler) {
