Search front: bulks in a file of their own; a write without key and id is not hashed

Clean-up without a change of behaviour: - stream_bulk() was one function of 130 lines; bulk_calls.cpp reads lines, starts items and writes the answer in functions of their own, with the state of a bulk in one struct. The error of an item and the check of `refresh` stood twice. - prepare_write() hashed a write that has neither a key nor an id, drew its id and dropped the hash; it chooses first now. - multi_get() moves each document's description instead of copying it. Left as it is: identity_of() and execute_write() each compact a document on several lines, one pass each.

--- a/include/kelpdeal/opensearch_front.h
+++ b/include/kelpdeal/opensearch_front.h
@@ -153,20 +153,26 @@
   Task<Answer> read_document_source(Call& call, CancellationToken& caller);
   Task<Answer> multi_get(Call& call, CancellationToken& caller);
   Task<Answer> reject_change(Call& call, CancellationToken& caller);
-  Task<Answer> bulk(Call& call, CancellationToken& caller);
-  Task<Answer> stream_bulk(Call& call, HttpBody& body, CancellationToken& caller);
   struct Write;
+  Write prepare_write(search::Operation operation);
   Task<Answer> execute_write(const Write& write, const Call& call, CancellationToken& caller);
-  Task<void> run_bulk_item(std::shared_ptr<Write> write, const Call& call, CancellationToken& caller,
-                           json::Value& out, search::FanoutLimiter::RequestLimiter& limiter,
-                           Mailbox<int>& done);
   Task<json::Object> fetch_document(const std::string& index, const std::string& id,
                                     const std::string& routing, const json::Value& source,
                                     const json::Value& stored, const Call& call, CancellationToken& caller);
   struct ReadDefaults;
   Task<void> fetch_item(const json::Value& spec, const ReadDefaults& defaults, const Call& call,
                         CancellationToken& caller, json::Value& out, Mailbox<int>& done);
-  Write prepare_write(search::Operation operation);
+
+  // src/front/opensearch/bulk_calls.cpp
+  Task<Answer> bulk(Call& call, CancellationToken& caller);
+  Task<Answer> stream_bulk(Call& call, HttpBody& body, CancellationToken& caller);
+  struct Bulk;
+  Task<void> read_bulk(Bulk& bulk, HttpBody& body);
+  Task<void> read_bulk_lines(Bulk& bulk, search::LineSplitter& lines, search::BulkParser& parser);
+  Task<void> start_bulk_item(Bulk& bulk, search::BulkItem item);
+  Task<void> run_bulk_item(Bulk& bulk, std::unique_ptr<Write> write, CancellationToken& caller,
+                           json::Value& out);
+  Answer bulk_answer(Bulk& bulk) const;
 
   // src/front/opensearch/cluster_calls.cpp
   Task<Answer> info(Call& call, CancellationToken& caller);
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -1,9 +1,8 @@
 // SPDX-License-Identifier: MIT
-// Handlers of documents: single and multiple reads, writes and bulks.
+// Handlers of documents: single and multiple reads, and single writes.
 #include <algorithm>
 
-#include "call.h"
-#include "kelpdeal/search/operation.h"
+#include "write.h"
 
 namespace kelpdeal {
 
@@ -11,23 +10,13 @@
 using search::split_to_json_array;
 using search::throw_illegal_argument;
 
-// A document to be written.
-struct OpenSearchFront::Write {
-  const IndexContract* index = nullptr;
-  std::string class_name;
-  search::Operation operation;
-  std::string id, key;           // under which the document is recorded, and by which a repeat is told
-  bool has_action_line = false;  // the node receives an action line before the document
-  std::optional<Duration> timeout;
-  std::string action_name;  // action name of a bulk item
-};
-
 namespace {
 
 constexpr std::size_t kMaxClientKeyBytes = 64;
 
-// The request's Idempotency-Key; empty if it has none. Throws ApiError.
-std::string client_key_of(const Call& call) {
+}  // namespace
+
+std::string opensearch::client_key_of(const Call& call) {
   const std::string* key = call.http.headers.find("Idempotency-Key");
   if (!key) return {};
   if (key->size() > kMaxClientKeyBytes || key->find_first_of(" ,=+\n") != std::string::npos)
@@ -35,7 +24,11 @@
   return *key;
 }
 
-}  // namespace
+void opensearch::reject_refresh(search::Parameters& parameters) {
+  const auto refresh = parameters.get("refresh");
+  if (refresh && *refresh != "false")
+    throw_illegal_argument("[refresh] is not taken: when a document can be found is the nodes' business");
+}
 
 // `operation.index` is the name that the client gave.
 OpenSearchFront::Write OpenSearchFront::prepare_write(search::Operation operation) {
@@ -58,14 +51,11 @@
                    {},
                    {}};
   operation.index = index.name;
+  const bool repeatable = !operation.client_key.empty() || !operation.id.empty();
+  // A write that the client can't repeat is another operation each time.
+  write.key = repeatable ? search::identity_of(operation) : next_id();
+  write.id = operation.id.empty() ? write.key : operation.id;
   write.operation = std::move(operation);
-  write.key = search::identity_of(write.operation);
-  if (!write.operation.id.empty())
-    write.id = write.operation.id;
-  else if (!write.operation.client_key.empty())
-    write.id = write.key;
-  else  // each request is another operation
-    write.id = write.key = next_id();
   return write;
 }
 
@@ -150,8 +140,7 @@
   if (op_type != "index" && op_type != "create")
     throw_illegal_argument("opType must be 'create' or 'index', found: [" + search::truncated(op_type, 40) +
                            "]");
-  if (const auto refresh = call.parameters.get("refresh"); refresh && *refresh != "false")
-    throw_illegal_argument("[refresh] is not taken: when a document can be found is the nodes' business");
+  reject_refresh(call.parameters);
   call.parameters.accept("wait_for_active_shards require_alias");
   call.reject_unknown_parameters();
   operation.create = call.pattern.find("_create") != std::string::npos || op_type == "create";
@@ -296,8 +285,7 @@
   call.reject_unknown_parameters();
   const json::Value *docs = body.find("docs"), *ids = body.find("ids");
   std::vector<json::Value> specs;
-  const auto add = [&](json::Object given) {
-    const json::Value spec = std::move(given);
+  const auto add = [&](json::Value spec) {
     if (specs.size() >= limits_.max_multi_get_documents)
       throw_illegal_argument("more than " + std::to_string(limits_.max_multi_get_documents) +
                              " documents in one multi-get");
@@ -313,12 +301,13 @@
                      "Validation Failed: 1: id is missing for doc " + std::to_string(specs.size()) + ";",
                      {},
                      {}};
-    specs.push_back(spec);
+    specs.push_back(std::move(spec));
   };
   if (docs && docs->array())
-    for (const json::Value& doc : *docs->array()) add(doc.object() ? *doc.object() : json::Object{});
+    for (const json::Value& doc : *docs->array()) add(doc.object() ? doc : json::Object{});
   if (ids && ids->array())
-    for (const json::Value& id : *ids->array()) add({{"_id", id.string() ? *id.string() : json::write(id)}});
+    for (const json::Value& id : *ids->array())
+      add(json::Object{{"_id", id.string() ? *id.string() : json::write(id)}});
   if (specs.empty())
     throw ApiError{
         400, "action_request_validation_exception", "Validation Failed: 1: no documents to get;", {}, {}};
@@ -346,182 +335,4 @@
   co_return Answer{200, json::Object{{"docs", std::move(out)}}, {}, {}};
 }
 
-// ---- bulk ----
-Task<void> OpenSearchFront::run_bulk_item(std::shared_ptr<Write> write, const Call& call,
-                                          CancellationToken& caller, json::Value& out,
-                                          search::FanoutLimiter::RequestLimiter& limiter,
-                                          Mailbox<int>& done) {
-  json::Object item;
-  try {
-    Call item_call{call.http, Clock::now(), call.pattern, {}, {}, {}, call.team, call.opaque_id};
-    Answer answer = co_await execute_write(*write, item_call, caller);
-    item = std::move(*answer.body.object());
-    item.emplace_back("status", answer.status);
-    limiter.on_accepted();
-  } catch (const ApiError& error) {
-    item = {{"_index", write->index->name}, {"_id", write->id}, {"status", error.status}};
-    json::Object cause{{"type", error.type}, {"reason", error.reason}};
-    if (error.retry_after > Duration::zero())
-      cause.emplace_back("retry_after_ms", std::chrono::ceil<Milliseconds>(error.retry_after).count());
-    item.emplace_back("error", std::move(cause));
-    if (error.status == 429) limiter.on_refused(Clock::now(), error.retry_after);
-  }
-  out = json::Object{{write->action_name, std::move(item)}};
-  limiter.on_ended();  // here and not by the bulk, which may be waiting for its client
-  done.put(1);
-}
-
-Task<Answer> OpenSearchFront::bulk(Call&, CancellationToken&) {
-  throw_illegal_argument("a bulk has a body");  // bulks arrive through stream()
-  co_return Answer{};
-}
-
-// Items start as their lines arrive, and reading pauses while no item may start: memory use is bounded by
-// Limits regardless of the length of the bulk.
-Task<Answer> OpenSearchFront::stream_bulk(Call& call, HttpBody& body, CancellationToken& caller) {
-  const std::string routing = call.parameters.get("routing").value_or("");
-  const auto timeout_text = call.parameters.get("timeout");
-  if (const auto refresh = call.parameters.get("refresh"); refresh && *refresh != "false")
-    throw_illegal_argument("[refresh] is not taken: when a document can be found is the nodes' business");
-  if (const auto pipeline = call.parameters.get("pipeline"); pipeline && *pipeline != "_none")
-    throw_illegal_argument("[pipeline] is not taken: pipelines are not known here");
-  call.parameters.accept("wait_for_active_shards require_alias _source _source_includes _source_excludes");
-  call.reject_unknown_parameters();
-  if (!call.index.empty()) single_index(call.index);
-  std::optional<Duration> timeout;
-  if (timeout_text) timeout = search::parse_time(*timeout_text, "timeout");
-  const std::string client_key = client_key_of(call);
-
-  search::LineSplitter lines(limits_.max_bulk_line_bytes);
-  search::BulkParser reader(call.index, limits_.search_json);
-  std::deque<json::Value> items;  // elements must not move while items write their results to them
-  std::deque<CancellationToken> callers;
-  Mailbox<int> done(scheduler_);
-  CancellationToken bulk_caller;
-  const CallerLink link(caller, bulk_caller);
-  bulk_caller.on_cancel = [&callers] {
-    for (CancellationToken& item_caller : callers) item_caller.cancel();
-  };
-  const search::TaskRegistry::Running running(tasks_,
-                                              make_task_entry(call, "indices:data/write/bulk", "bulk"));
-  search::FanoutLimiter::RequestLimiter limiter(fanout_, 0);
-  std::optional<ApiError> bulk_error;
-  bool expect_more = true;
-  const auto add_refused_item = [&](const search::BulkItem& item, const ApiError& error) {
-    json::Object cause{{"type", error.type}, {"reason", error.reason}};
-    if (error.retry_after > Duration::zero())
-      cause.emplace_back("retry_after_ms", std::chrono::ceil<Milliseconds>(error.retry_after).count());
-    items.push_back(json::Object{
-        {item.action_name(), json::Object{{"_index", item.index},
-                                          {"_id", item.id.empty() ? json::Value() : json::Value(item.id)},
-                                          {"status", error.status},
-                                          {"error", std::move(cause)}}}});
-  };
-  while (expect_more && !bulk_error && !bulk_caller.cancelled()) {
-    std::optional<std::string> piece = co_await body.next();
-    if (piece)
-      lines.feed(*piece);
-    else {
-      expect_more = false;
-      // The client disconnected: the last item may be truncated, so it is dropped.
-      if (!body.complete()) break;
-      lines.finish();
-    }
-    while (!bulk_error) {
-      const std::optional<std::string> line = lines.next();
-      if (!line) break;
-      std::optional<search::BulkItem> item;
-      try {
-        item = reader.add_line(*line);
-      } catch (const ApiError& error) {
-        bulk_error = error;
-        break;
-      }
-      if (!item) continue;
-      if (items.size() >= limits_.max_bulk_items) {
-        add_refused_item(*item, {429,
-                                 "rejected_execution_exception",
-                                 "a bulk holds at most " + std::to_string(limits_.max_bulk_items) +
-                                     " items: send this one again",
-                                 {},
-                                 std::chrono::seconds(1)});
-        if (items.size() >= 4 * limits_.max_bulk_items)
-          bulk_error = ApiError{413, "content_too_long_exception", "far too many items in one bulk", {}, {}};
-        continue;
-      }
-      if (!item->problem.empty()) {
-        add_refused_item(*item, {400, "illegal_argument_exception", item->problem, {}, {}});
-        continue;
-      }
-      if (item->action == search::BulkItem::Action::update ||
-          item->action == search::BulkItem::Action::erase) {
-        add_refused_item(
-            *item,
-            {400, "illegal_argument_exception", "documents are recorded, not updated or deleted", {}, {}});
-        continue;
-      }
-      // Pauses reading until the item may start.
-      while (!limiter.can_start() && !bulk_caller.cancelled())
-        co_await done.take(Clock::now() + Milliseconds(20));
-      if (const Duration retry_after = limiter.backoff_remaining(Clock::now());
-          retry_after > Duration::zero()) {
-        add_refused_item(*item, {429, "rejected_execution_exception", "refused: overload", {}, retry_after});
-        continue;
-      }
-      auto write = std::make_shared<Write>();
-      try {
-        *write = prepare_write({client_key, call.team, item->index, item->id,
-                                item->routing.empty() ? routing : item->routing,
-                                item->action == search::BulkItem::Action::create, std::move(item->document)});
-      } catch (const ApiError& error) {
-        add_refused_item(*item, error);
-        continue;
-      }
-      write->action_name = item->action_name();
-      write->timeout = timeout;
-      items.emplace_back();
-      callers.emplace_back();
-      if (bulk_caller.cancelled()) callers.back().cancel();
-      limiter.on_started();
-      scheduler_.spawn(run_bulk_item(std::move(write), call, callers.back(), items.back(), limiter, done));
-    }
-    if (lines.line_too_long())
-      bulk_error = ApiError{
-          413,
-          "content_too_long_exception",
-          "a line of the bulk is longer than " + std::to_string(limits_.max_bulk_line_bytes) + " bytes",
-          {},
-          {}};
-  }
-  while (limiter.in_flight() > 0) co_await done.take();
-  if (!bulk_error && reader.awaiting_document() && body.complete())
-    bulk_error =
-        ApiError{400,
-                 "illegal_argument_exception",
-                 "The bulk request must be terminated by a newline, and its last action needs a document",
-                 {},
-                 {}};
-  // An invalid bulk without any item is an error; otherwise the client must receive the outcome of the items.
-  if (bulk_error && items.empty()) throw *bulk_error;
-  if (!bulk_error && items.empty()) search::throw_illegal_argument("request body is required");
-  bool errors = bulk_error.has_value();
-  if (bulk_error) {
-    search::BulkItem last;
-    add_refused_item(last, *bulk_error);
-  }
-  json::Array out;
-  for (json::Value& item : items) {
-    if (const json::Value& body_of = item.object()->front().second; body_of.number_or("status", 0) >= 300)
-      errors = true;
-    out.push_back(std::move(item));
-  }
-  co_return Answer{
-      200,
-      json::Object{{"took", std::chrono::duration_cast<Milliseconds>(Clock::now() - call.received).count()},
-                   {"errors", errors},
-                   {"items", std::move(out)}},
-      {},
-      {}};
-}
-
 }  // namespace kelpdeal
