Tests: the interrupted wait uses async-signal-safe calls only

The handler called EXPECT_EQ and nanosleep(); an emulator of x86-64 ends the process at a nanosleep() in a handler (a program of ten lines shows it).

--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -146,17 +146,19 @@
 
 // As above, for a process that stands still while it waits: a signal ends the wait without a poll.
 TEST(Scheduler, SocketsAreReadBeforeTimersThatBecameDueInAnInterruptedWait) {
-  static const WatchedSocket* arriving = nullptr;
+  static int sending_end = -1;
+  static ssize_t sent = 0;
   struct sigaction action {};
   struct sigaction previous {};
-  action.sa_handler = [](int) {
-    const timespec pause{0, 30'000'000};
-    arriving->send_byte();
-    ::nanosleep(&pause, nullptr);
+  action.sa_handler = [](int) {  // async-signal-safe calls only
+    const TimePoint until = Clock::now() + 30ms;
+    sent = ::write(sending_end, "x", 1);
+    while (Clock::now() < until) {
+    }
   };
   Scheduler scheduler;
   WatchedSocket socket(scheduler);
-  arriving = &socket;
+  sending_end = socket.ends[1];
   ::sigaction(SIGALRM, &action, &previous);
   const itimerval alarm{{0, 0}, {0, 5'000}};
   ::setitimer(ITIMER_REAL, &alarm, nullptr);
@@ -167,6 +169,7 @@
   });
   scheduler.run();
   ::sigaction(SIGALRM, &previous, nullptr);
+  EXPECT_EQ(sent, 1);
   EXPECT_TRUE(read_before_timer);
 }
 
