--- a/bench/search_pages_run.cpp
+++ b/bench/search_pages_run.cpp
@@ -207,6 +207,20 @@
                 R"({"m189.sum":"asc"})", "]}}}}", kBodyBytes);
           },
           search_answer("", R"({"t":{"buckets":[{"key":"a","doc_count":1},{"key":"b","doc_count":1}]}})")),
+      page(
+          "aggregation: gaps, 31 orders of 190 metrics",
+          [] {
+            return histogram_body(filled(",\"order\":[", R"({"m189.sum":"asc"})", "]", 600), metrics(190));
+          },
+          kEmptyHistogram),
+      page(
+          "aggregation: gaps, 31 orders of one metric",
+          [] { return histogram_body(filled(",\"order\":[", R"({"m0.sum":"asc"})", "]", 550), metrics(1)); },
+          kEmptyHistogram),
+      page(
+          "aggregation: gaps, 14 orders of one metric",
+          [] { return histogram_body(filled(",\"order\":[", R"({"m0.sum":"asc"})", "]", 250), metrics(1)); },
+          kEmptyHistogram),
       page(
           "aggregation: terms with 190 metrics, short buckets",
           [] {
--- a/include/kelpdeal/search/aggregations.h
+++ b/include/kelpdeal/search/aggregations.h
@@ -30,6 +30,8 @@
   // Buckets and nested results that are kept while the slices' results are merged.
   std::size_t max_merged_results = 262'144;
   std::size_t max_result_bytes = 48 << 20;  // memory of the merged result as it is rendered
+  // Buckets that are sorted, times the sort criteria of their aggregation.
+  std::size_t max_order_values = 1'000'000;
 };
 
 // Histogram keys, including dates in milliseconds, must be smaller than this in absolute value.
@@ -57,6 +59,7 @@
     std::vector<std::string> path;  // names of nested aggregations; empty for _key and _count
     std::string value;              // _key, _count, or the name of a metric's value
     bool descending = false;
+    std::vector<std::size_t> positions{};  // of each step of `path` among the aggregations of its level
   };
   Kind kind = Kind::single_bucket;
   std::string name, type;  // type as in the request: "terms", "date_range", ...
@@ -166,6 +169,7 @@
   std::optional<double> order_value(const Aggregations& specs, const std::vector<State>& states,
                                     const Aggregation::Order& order, std::size_t depth) const;
   void sort(const Aggregation& spec, BucketPointers& buckets) const;
+  std::vector<double> order_values(const Aggregation& spec, const BucketPointers& buckets) const;
   void check_bucket_limit(std::size_t buckets) const;
   void add_result_bytes(std::size_t bytes) const;
 
@@ -178,7 +182,7 @@
   mutable std::map<const Aggregation*, std::vector<Bucket>> empty_range_buckets_;
   mutable std::map<const Aggregation*, std::vector<Bucket>> empty_filter_buckets_;
   mutable std::map<const Aggregation*, State> empty_states_;
-  mutable std::size_t rendered_buckets_ = 0, rendered_bytes_ = 0;
+  mutable std::size_t rendered_buckets_ = 0, rendered_bytes_ = 0, order_values_ = 0;
 };
 
 }  // namespace kelpdeal::search
--- a/src/search/aggregation_render.cpp
+++ b/src/search/aggregation_render.cpp
@@ -2,6 +2,7 @@
 // Renders the merged result of aggregations.
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "kelpdeal/search/aggregations.h"
 #include "kelpdeal/search/api_error.h"
@@ -30,6 +31,21 @@
   return first_key->integer() ? "lterms" : "dterms";
 }
 
+// In place of the value by which a bucket is ordered, if it has none.
+constexpr double kNoValue = std::numeric_limits<double>::quiet_NaN();
+
+template <typename T>
+int compare(const T& a, const T& b) {
+  return a < b ? -1 : b < a;
+}
+
+int compare_keys(const json::Value& a, const json::Value& b) {
+  if (a.string() && b.string()) return a.string()->compare(*b.string());
+  const auto exact_a = a.integer(), exact_b = b.integer();
+  if (exact_a && exact_b) return compare(*exact_a, *exact_b);
+  return compare(a.number() ? *a.number() : 0, b.number() ? *b.number() : 0);
+}
+
 }  // namespace
 
 std::optional<double> AggregationReducer::metric_value(const State& state, std::string_view value) {
@@ -79,42 +95,60 @@
                                                       const std::vector<State>& states,
                                                       const Aggregation::Order& order,
                                                       std::size_t depth) const {
-  for (const Aggregation& spec : specs) {
-    if (spec.name != order.path[depth]) continue;
-    const State& state = state_of(spec, states);
-    if (depth + 1 == order.path.size()) return metric_value(state, order.value);
-    if (state.buckets.empty()) return std::nullopt;
-    return order_value(spec.sub_aggregations, state.buckets.front().sub_states, order, depth + 1);
-  }
-  return std::nullopt;
+  const Aggregation& spec = specs[order.positions[depth]];
+  const State& state = state_of(spec, states);
+  if (depth + 1 == order.path.size()) return metric_value(state, order.value);
+  if (state.buckets.empty()) return std::nullopt;
+  return order_value(spec.sub_aggregations, state.buckets.front().sub_states, order, depth + 1);
+}
+
+// The values of nested aggregations by which the buckets are ordered, in rows of one bucket each. They are
+// looked up once and not for each comparison.
+std::vector<double> AggregationReducer::order_values(const Aggregation& spec,
+                                                     const BucketPointers& buckets) const {
+  std::vector<double> values;
+  for (const Bucket* bucket : buckets)
+    for (const Aggregation::Order& order : spec.order)
+      if (!order.path.empty())
+        values.push_back(order_value(spec.sub_aggregations, bucket->sub_states, order, 0).value_or(kNoValue));
+  return values;
 }
 
 void AggregationReducer::sort(const Aggregation& spec, BucketPointers& buckets) const {
-  const auto before = [&](const Bucket* a, const Bucket* b) {
+  order_values_ += buckets.size() * spec.order.size();
+  if (order_values_ > bounds_.max_order_values)
+    throw ApiError{400,
+                   "too_many_buckets_exception",
+                   "aggregation [" + truncated(spec.name) + "]: [order] takes more than " +
+                       std::to_string(bounds_.max_order_values) + " values of buckets",
+                   {},
+                   {}};
+  struct Row {
+    const Bucket* bucket;
+    const double* values;
+  };
+  const std::vector<double> values = order_values(spec, buckets);
+  const std::size_t width = buckets.empty() ? 0 : values.size() / buckets.size();
+  std::vector<Row> rows;
+  for (const Bucket* bucket : buckets) rows.push_back({bucket, values.data() + rows.size() * width});
+  const auto before = [&](const Row& a, const Row& b) {
+    const double *x = a.values, *y = b.values;
     for (const Aggregation::Order& order : spec.order) {
       int comparison = 0;
-      if (order.value == "_count" && order.path.empty()) {
-        comparison = a->count < b->count ? -1 : b->count < a->count;
-      } else if (order.path.empty()) {
-        if (a->key.string() && b->key.string()) {
-          comparison = a->key.string()->compare(*b->key.string());
-        } else {
-          const auto exact_a = a->key.integer(), exact_b = b->key.integer();
-          const double x = a->key.number() ? *a->key.number() : 0, y = b->key.number() ? *b->key.number() : 0;
-          comparison =
-              exact_a && exact_b ? (*exact_a < *exact_b ? -1 : *exact_b < *exact_a) : (x < y ? -1 : y < x);
-        }
+      if (order.path.empty()) {
+        comparison = order.value == "_count" ? compare(a.bucket->count, b.bucket->count)
+                                             : compare_keys(a.bucket->key, b.bucket->key);
       } else {
-        const auto x = order_value(spec.sub_aggregations, a->sub_states, order, 0),
-                   y = order_value(spec.sub_aggregations, b->sub_states, order, 0);
-        if (x.has_value() != y.has_value()) return x.has_value();  // buckets without a value are sorted last
-        if (x) comparison = *x < *y ? -1 : *y < *x;
+        // Buckets without a value are sorted last.
+        if (std::isnan(*x) != std::isnan(*y)) return std::isnan(*y);
+        comparison = compare(*x++, *y++);
       }
       if (comparison != 0) return order.descending ? comparison > 0 : comparison < 0;
     }
     return false;
   };
-  std::stable_sort(buckets.begin(), buckets.end(), before);
+  std::stable_sort(rows.begin(), rows.end(), before);
+  std::transform(rows.begin(), rows.end(), buckets.begin(), [](const Row& row) { return row.bucket; });
 }
 
 // Bounds the response, while its buckets are made: a small interval over wide extended_bounds would produce
@@ -389,7 +423,7 @@
 }
 
 json::Object AggregationReducer::render(bool typed_keys) const {
-  rendered_buckets_ = rendered_bytes_ = 0;
+  rendered_buckets_ = rendered_bytes_ = order_values_ = 0;
   return render(specs_, states_, typed_keys);
 }
 
--- a/src/search/aggregation_request.cpp
+++ b/src/search/aggregation_request.cpp
@@ -154,9 +154,9 @@
   return orders;
 }
 
-// An order by a nested aggregation must name an existing one that has such a value.
-void check_orders(const Aggregation& spec) {
-  for (const Aggregation::Order& order : spec.order) {
+// Finds the nested aggregation of each order. It must exist and have such a value.
+void resolve_orders(Aggregation& spec) {
+  for (Aggregation::Order& order : spec.order) {
     const Aggregations* level = &spec.sub_aggregations;
     for (std::size_t i = 0; i < order.path.size(); ++i) {
       const auto found = std::find_if(level->begin(), level->end(), [&](const Aggregation& aggregation) {
@@ -173,6 +173,7 @@
       if (is_last && has_several_values != (order.value != "value"))
         reject(spec.name,
                "invalid aggregation order path: [" + truncated(order.path[i]) + "] needs one value named");
+      order.positions.push_back(static_cast<std::size_t>(found - level->begin()));
       level = &found->sub_aggregations;
     }
   }
@@ -378,7 +379,7 @@
       aggregation.sub_aggregations = read(*nested, depth + 1);
     }
     read_options(aggregation);
-    check_orders(aggregation);
+    resolve_orders(aggregation);
     return aggregation;
   }
 
--- a/tests/bounded_work_test.cpp
+++ b/tests/bounded_work_test.cpp
@@ -195,6 +195,21 @@
   EXPECT_EQ(reason_for("POST", "/lifts/_search", body(30)), "");
 }
 
+// Guards against buckets that are ordered by values which are looked up for each pair of them.
+TEST(BoundedWork, OrdersAreBoundedTimesTheBuckets) {
+  const auto ordered_by = [](const std::string& metric, std::size_t count) {
+    return ",\"order\":" + list_of("{\"" + metric + ".sum\":\"asc\"}", count);
+  };
+  const std::string metrics = members("m", R"({"extended_stats":{"field":"a"}})", 190);
+  const TimePoint start = Clock::now();
+  EXPECT_NE(gaps_reason(gaps(65'000, ordered_by("m189", 32), metrics)).find("values of buckets"),
+            std::string::npos);
+  EXPECT_NE(gaps_reason(gaps(2'000, ordered_by("m189", 32), metrics)).find("would take more than"),
+            std::string::npos);
+  EXPECT_LT(Clock::now() - start, kLinearTime);
+  EXPECT_EQ(gaps_reason(gaps(10'000, ordered_by("m0", 5), R"({"m0":{"stats":{"field":"a"}}})")), "");
+}
+
 search::SearchRequest parsed_search(const std::string& body) {
   std::string error;
   search::Parameters none;
