--- a/include/kelpdeal/search/fanout.h
+++ b/include/kelpdeal/search/fanout.h
@@ -11,6 +11,10 @@
 
 namespace kelpdeal::search {
 
+// Changes to other requests' windows can allow a request to start items, without a notification: it looks
+// again after this time at the latest.
+constexpr Milliseconds kFanoutPollInterval{20};
+
 class FanoutLimiter {
  public:
   struct Bounds {
--- a/src/front/opensearch/bulk_calls.cpp
+++ b/src/front/opensearch/bulk_calls.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr Milliseconds kStartRetryInterval{20};
 // Refused items are listed in the answer too, so their number is bounded as well.
 constexpr std::size_t kMaxListedItemsFactor = 4;
 
@@ -107,7 +106,7 @@
   }
   // Pauses reading until the item may start.
   while (!bulk.limiter.can_start() && !bulk.caller.cancelled())
-    co_await bulk.done.take(Clock::now() + kStartRetryInterval);
+    co_await bulk.done.take(Clock::now() + search::kFanoutPollInterval);
   const Duration retry_after = bulk.limiter.backoff_remaining(Clock::now());
   if (retry_after > Duration::zero()) {
     bulk.refuse(item, {429, "rejected_execution_exception", "refused: overload", {}, retry_after});
--- a/src/front/opensearch/cluster_calls.cpp
+++ b/src/front/opensearch/cluster_calls.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "call.h"
+#include "kelpdeal/search/compare.h"
 #include "kelpdeal/search/wildcard.h"
 
 namespace kelpdeal {
@@ -66,8 +67,7 @@
 
 int compare_cells(const std::string& a, const std::string& b) {
   if (!is_number(a) || !is_number(b)) return a.compare(b);
-  const double x = std::stod(a), y = std::stod(b);
-  return x < y ? -1 : y < x;
+  return search::order_of(std::stod(a), std::stod(b));
 }
 
 void sort_rows(Table& table, const std::string& by) {
--- a/src/front/opensearch/document_calls.cpp
+++ b/src/front/opensearch/document_calls.cpp
@@ -328,7 +328,7 @@
       scheduler_.spawn(fetch_item(specs[next], defaults, call, callers[next], out[next], done));
       ++next;
     }
-    if (!co_await done.take(Clock::now() + Milliseconds(20))) continue;
+    if (!co_await done.take(Clock::now() + search::kFanoutPollInterval)) continue;
     limiter.on_ended();
     ++ended;
   }
--- a/src/front/opensearch/search_calls.cpp
+++ b/src/front/opensearch/search_calls.cpp
@@ -249,9 +249,7 @@
     auto search_json = json::parse(body.empty() ? "{}" : body, error, limits_.search_json);
     if (!search_json || !search_json->object())
       search::throw_parsing_error(search_json ? "the body is not an object" : error);
-    if (template_budget) {
-      search_json = rendered_body(*search_json, *template_budget);
-    }
+    if (template_budget) search_json = rendered_body(*search_json, *template_budget);
     outcome = co_await search_body(item_call, *search_json, caller);
   } catch (const ApiError& error) {
     outcome = error_answer(error);
@@ -328,8 +326,7 @@
         if (templates) co_await scheduler_.next_turn();
       }
       if (ended >= count) break;
-      // Changes to other requests' windows can allow this one to start items, without a notification: polls.
-      const auto finished = co_await done.take(Clock::now() + Milliseconds(20));
+      const auto finished = co_await done.take(Clock::now() + search::kFanoutPollInterval);
       if (!finished) continue;
       limiter.on_ended();
       ++ended;
--- a/src/search/aggregation_render.cpp
+++ b/src/search/aggregation_render.cpp
@@ -6,6 +6,7 @@
 
 #include "kelpdeal/search/aggregations.h"
 #include "kelpdeal/search/api_error.h"
+#include "kelpdeal/search/compare.h"
 #include "kelpdeal/search/dates.h"
 
 namespace kelpdeal::search {
@@ -34,16 +35,11 @@
 // In place of the value by which a bucket is ordered, if it has none.
 constexpr double kNoValue = std::numeric_limits<double>::quiet_NaN();
 
-template <typename T>
-int compare(const T& a, const T& b) {
-  return a < b ? -1 : b < a;
-}
-
 int compare_keys(const json::Value& a, const json::Value& b) {
   if (a.string() && b.string()) return a.string()->compare(*b.string());
   const auto exact_a = a.integer(), exact_b = b.integer();
-  if (exact_a && exact_b) return compare(*exact_a, *exact_b);
-  return compare(a.number() ? *a.number() : 0, b.number() ? *b.number() : 0);
+  if (exact_a && exact_b) return order_of(*exact_a, *exact_b);
+  return order_of(a.number() ? *a.number() : 0, b.number() ? *b.number() : 0);
 }
 
 }  // namespace
@@ -136,12 +132,12 @@
     for (const Aggregation::Order& order : spec.order) {
       int comparison = 0;
       if (order.path.empty()) {
-        comparison = order.value == "_count" ? compare(a.bucket->count, b.bucket->count)
+        comparison = order.value == "_count" ? order_of(a.bucket->count, b.bucket->count)
                                              : compare_keys(a.bucket->key, b.bucket->key);
       } else {
         // Buckets without a value are sorted last.
         if (std::isnan(*x) != std::isnan(*y)) return std::isnan(*y);
-        comparison = compare(*x++, *y++);
+        comparison = order_of(*x++, *y++);
       }
       if (comparison != 0) return order.descending ? comparison > 0 : comparison < 0;
     }
--- a/src/search/aggregation_request.cpp
+++ b/src/search/aggregation_request.cpp
@@ -426,12 +426,11 @@
   for (const Aggregation::Order& order : aggregation.order) {
     std::string path;
     const Aggregations* level = &aggregation.sub_aggregations;
-    for (const std::string& step : order.path) {
-      path += (path.empty() ? "" : ">") + step;
-      const auto found = std::find_if(level->begin(), level->end(),
-                                      [&](const Aggregation& candidate) { return candidate.name == step; });
-      if (found->kind == Kind::avg) path += ".avg";  // a slice is sent a stats aggregation in place of avg
-      level = &found->sub_aggregations;
+    for (const std::size_t position : order.positions) {
+      const Aggregation& nested = (*level)[position];
+      path += (path.empty() ? "" : ">") + nested.name;
+      if (nested.kind == Kind::avg) path += ".avg";  // a slice is sent a stats aggregation in place of avg
+      level = &nested.sub_aggregations;
     }
     if (path.empty())
       path = order.value;
--- a/src/search/sort.cpp
+++ b/src/search/sort.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "kelpdeal/search/api_error.h"
+#include "kelpdeal/search/compare.h"
 #include "kelpdeal/search/parameters.h"
 
 namespace kelpdeal::search {
@@ -77,11 +78,6 @@
   return &infinite;
 }
 
-template <typename T>
-int order_of(const T& a, const T& b) {
-  return a < b ? -1 : b < a ? 1 : 0;
-}
-
 int compare_value(const SortField& field, const json::Value& a, const json::Value& b) {
   if (a.is_null() || b.is_null()) {
     if (a.is_null() && b.is_null()) return 0;
