Measurements share the running cluster and the page of counters; a test's sockets own themselves

busy_path_run, search_pages_run and stalled_loop_run each had the thread of the nodes and its end (two of them the request for the counters too): bench/running_cluster.h. WatchedSocket holds Descriptors instead of closing numbers.

--- a/bench/busy_path_run.cpp
+++ b/bench/busy_path_run.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "../tests/program.h"
-#include "blocking_client.h"
+#include "running_cluster.h"
 
 namespace kelpdeal::test {
 namespace {
@@ -76,11 +76,7 @@
   TestCluster cluster(options);
   Program program(cluster, cluster.config_text(), "127.0.0.1:0", {}, {}, -1, program_path);
   const std::string address = program.address();
-  std::atomic<bool> finished{false};
-  const auto stop_when_finished = [&]() -> Task<void> {
-    while (!finished) co_await cluster.pause(5ms);
-  };
-  std::thread nodes([&] { cluster.run(stop_when_finished(), 10 * span); });
+  const RunningCluster running(cluster, 10 * span);
   std::this_thread::sleep_for(300ms);
   const FractionalMs cpu_before = cpu_time(program.id());
   const TimePoint start = Clock::now(), end = start + span;
@@ -92,8 +88,6 @@
   const FractionalMs cpu_used = cpu_time(program.id()) - cpu_before;
   const std::uint64_t answered = answers;
   for (std::thread& client : clients) client.join();
-  finished = true;
-  nodes.join();
   const double seconds = std::chrono::duration<double>(span).count();
   std::printf("| %s | %.0f | %.1f | %.1f |\n", load.label, static_cast<double>(answered) / seconds,
               1000 * cpu_used.count() / static_cast<double>(std::max<std::uint64_t>(answered, 1)),
--- a/bench/search_pages_run.cpp
+++ b/bench/search_pages_run.cpp
@@ -6,12 +6,11 @@
 // Programs may need several GB: run it under `ulimit -v`.
 #include <sys/resource.h>
 
-#include <atomic>
 #include <cstdlib>
 #include <thread>
 
 #include "../tests/program.h"
-#include "blocking_client.h"
+#include "running_cluster.h"
 
 namespace kelpdeal::test {
 namespace {
@@ -411,9 +410,7 @@
 }
 
 std::string counter(const std::string& address, const std::string& name) {
-  Client client(address, 5s);
-  client.send("GET /-/counters HTTP/1.1\r\nConnection: close\r\n\r\n");
-  const std::string text = client.read_to_end();
+  const std::string text = counters_page(address);
   const std::size_t at = text.find("\n" + name + " ");
   return at == std::string::npos
              ? "0"
@@ -433,11 +430,7 @@
     };
   Program program(cluster, cluster.config_text(), "127.0.0.1:0", {"--front", front}, {}, -1, program_path);
   const std::string platform = program.address(), search = program.address();
-  std::atomic<bool> finished{false};
-  const auto stop_when_finished = [&]() -> Task<void> {
-    while (!finished) co_await cluster.pause(5ms);
-  };
-  std::thread nodes([&] { cluster.run(stop_when_finished(), kServeTimeout); });
+  const RunningCluster running_cluster(cluster, kServeTimeout);
   std::this_thread::sleep_for(200ms);
   constexpr std::string_view kPlatform = "platform:";
   const bool on_platform = page.target.starts_with(kPlatform);
@@ -453,8 +446,6 @@
   const bool running = program.running();
   const std::string longest_us = running ? counter(platform, "loop.longest_turn_us") : "0";
   const double peak_mb = running ? static_cast<double>(process_kb(program.id(), "VmHWM")) / 1024 : 0;
-  finished = true;
-  nodes.join();
   if (running)
     std::printf("| %s | %zu | %s | %.1f | %.0f |\n", page.name.c_str(), bytes.size() / 1000, status.c_str(),
                 std::strtod(longest_us.c_str(), nullptr) / 1000, peak_mb);
--- a/bench/stalled_loop_run.cpp
+++ b/bench/stalled_loop_run.cpp
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "../tests/program.h"
-#include "blocking_client.h"
+#include "running_cluster.h"
 
 namespace kelpdeal::test {
 namespace {
@@ -57,9 +57,7 @@
 
 // The lines of the page of counters whose name begins with one of `prefixes`.
 void print_counters(const std::string& address, std::initializer_list<std::string_view> prefixes) {
-  Client client(address);
-  client.send("GET /-/counters HTTP/1.1\r\nConnection: close\r\n\r\n");
-  std::istringstream page(client.read_to_end());
+  std::istringstream page(counters_page(address));
   for (std::string line; std::getline(page, line);)
     for (const std::string_view prefix : prefixes)
       if (line.starts_with(prefix)) std::printf("  %s\n", line.c_str());
@@ -75,11 +73,7 @@
     };
   Program program(cluster, cluster.config_text(), "127.0.0.1:0", {}, {}, -1, program_path);
   const std::string address = program.address();
-  std::atomic<bool> finished{false};
-  const auto stop_when_finished = [&]() -> Task<void> {
-    while (!finished) co_await cluster.pause(5ms);
-  };
-  std::thread nodes([&] { cluster.run(stop_when_finished(), 10 * span); });
+  const RunningCluster running(cluster, 10 * span);
   std::this_thread::sleep_for(300ms);
   const TimePoint end = Clock::now() + span;
   Outcomes outcomes;
@@ -92,8 +86,6 @@
               static_cast<unsigned long long>(outcomes.refused),
               static_cast<unsigned long long>(outcomes.other));
   print_counters(address, {"attempts.", "node.answers_too_late", "node.connections", "queries."});
-  finished = true;
-  nodes.join();
 }
 
 }  // namespace
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -88,18 +88,18 @@
 // A socket pair of which one end is watched.
 struct WatchedSocket : ReadinessHandler {
   explicit WatchedSocket(Scheduler& watching) : scheduler(watching) {
-    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
-    scheduler.watch(ends[0], EPOLLIN, *this);
-  }
-  ~WatchedSocket() override {
-    scheduler.unwatch(ends[0], *this);
-    for (const int end : ends) ::close(end);
+    int pair[2];
+    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+    watched = Descriptor(pair[0]);
+    peer = Descriptor(pair[1]);
+    scheduler.watch(watched.get(), EPOLLIN, *this);
   }
+  ~WatchedSocket() override { scheduler.unwatch(watched.get(), *this); }
   void on_ready(std::uint32_t) override { seen = true; }
-  void send_byte() const { EXPECT_EQ(::write(ends[1], "x", 1), 1); }
+  void send_byte() const { EXPECT_EQ(::write(peer.get(), "x", 1), 1); }
 
   Scheduler& scheduler;
-  int ends[2] = {-1, -1};
+  Descriptor watched, peer;
   bool seen = false;
 };
 
@@ -158,7 +158,7 @@
   };
   Scheduler scheduler;
   WatchedSocket socket(scheduler);
-  sending_end = socket.ends[1];
+  sending_end = socket.peer.get();
   ::sigaction(SIGALRM, &action, &previous);
   const itimerval alarm{{0, 0}, {0, 5'000}};
   ::setitimer(ITIMER_REAL, &alarm, nullptr);
